--- /dev/null
+++ b/packages/common/include/boragehollow/common/duty.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <functional>
+#include <stop_token>
+#include <string>
+#include <thread>
+
+namespace boragehollow::common {
+
+/// Thread that runs one duty for the life of the object. Destruction requests a stop and joins.
+class duty {
+public:
+    /// `name` appears in thread listings; the kernel keeps its first 15 characters.
+    duty(std::string name, std::function<void(std::stop_token)> run);
+
+    duty(const duty&) = delete;
+    duty& operator=(const duty&) = delete;
+    ~duty() = default;
+
+    void request_stop();
+    void join();
+
+private:
+    std::jthread m_thread;
+};
+
+} // namespace boragehollow::common
--- /dev/null
+++ b/packages/common/include/boragehollow/common/endpoint.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace boragehollow::common {
+
+/// IP number and port.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const endpoint&) const = default;
+};
+
+/// Reads `ADDRESS:PORT`, with an IPv6 address in brackets. The error says what is wrong.
+tl::expected<endpoint, std::string> parse_endpoint(std::string_view text);
+
+std::string to_string(const endpoint& value);
+
+} // namespace boragehollow::common
