--- /dev/null
+++ b/packages/config/include/boragehollow/config/resource.hpp
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// Resources that operators create, and their defaults.
+namespace boragehollow::config {
+
+using std::chrono::milliseconds;
+
+/// Class of work of a route's calls. Long calls have their own share of a target's slots.
+enum class work_class { short_work, long_work };
+
+/// Sends calls that match host, path prefix and method to a service.
+struct route {
+    std::string name;
+    std::string host;                 ///< Host header without port; empty matches every host.
+    std::string path_prefix = "/";    ///< Matches whole path segments.
+    std::vector<std::string> methods; ///< Empty matches every method.
+    std::string service;
+    milliseconds deadline{10'000};
+    bool idempotent = false;
+    work_class work = work_class::short_work;
+
+    bool operator==(const route&) const = default;
+};
+
+struct random_choice {
+    bool operator==(const random_choice&) const = default;
+};
+
+struct round_robin {
+    bool operator==(const round_robin&) const = default;
+};
+
+/// The better of two random targets by outstanding calls.
+struct least_loaded {
+    bool operator==(const least_loaded&) const = default;
+};
+
+/// The better of two random targets by latency estimate times outstanding calls.
+struct peak_ewma {
+    milliseconds decay{5'000};
+
+    bool operator==(const peak_ewma&) const = default;
+};
+
+using balancing_policy = std::variant<peak_ewma, least_loaded, round_robin, random_choice>;
+
+struct retry_policy {
+    std::uint32_t max_attempts = 3;
+    double budget_ratio = 0.2; ///< Retries allowed for each call, on top of the minimum.
+    std::uint32_t min_per_second = 3;
+    milliseconds base_backoff{5};
+    milliseconds max_backoff{250};
+
+    bool operator==(const retry_policy&) const = default;
+};
+
+struct hedging_policy {
+    bool enabled = false;
+    milliseconds min_delay{10}; ///< Lower bound of the delay, which else is the 95th percentile of latency.
+    double budget_ratio = 0.05;
+
+    bool operator==(const hedging_policy&) const = default;
+};
+
+struct admission_policy {
+    std::uint32_t queue_length = 64;
+    milliseconds queue_max_wait{1'000};
+    std::uint32_t reserved_short_slots = 2;
+    milliseconds long_threshold{1'000}; ///< A short call that has run for longer counts as long work.
+    bool adaptive_limit = true;
+    bool fair_queueing = true;
+
+    bool operator==(const admission_policy&) const = default;
+};
+
+struct ejection_policy {
+    std::uint32_t consecutive_failures = 5;
+    double latency_factor =
+        4.0; ///< Ejects a target whose latency exceeds the median by this factor; 0 is off.
+    milliseconds base_time{1'000};
+    milliseconds max_time{30'000};
+    double max_fraction = 0.4;
+    double panic_healthy_fraction = 0.3;
+
+    bool operator==(const ejection_policy&) const = default;
+};
+
+/// Declares a service, and how calls to it are balanced, retried and admitted.
+struct service_policy {
+    std::string name;
+    balancing_policy balancing = peak_ewma{};
+    retry_policy retry;
+    hedging_policy hedging;
+    admission_policy admission;
+    ejection_policy ejection;
+
+    bool operator==(const service_policy&) const = default;
+};
+
+enum class domain_preference { local_first, any };
+
+/// Selects the targets of a service, and when calls leave the caller's failure domain.
+struct target_rule {
+    std::string name;
+    std::string service;
+    std::map<std::string, std::string> labels; ///< A target must carry all of them.
+    domain_preference preference = domain_preference::local_first;
+    double spill_over = 0.8; ///< Estimated use of the local targets past which others are chosen too.
+
+    bool operator==(const target_rule&) const = default;
+};
+
+/// The alternatives stand in the order of `resource_kind`.
+using resource = std::variant<route, service_policy, target_rule>;
+
+enum class resource_kind { route, service_policy, target_rule };
+
+struct resource_key {
+    resource_kind kind = resource_kind::route;
+    std::string name;
+
+    auto operator<=>(const resource_key&) const = default;
+};
+
+inline resource_key key_of(const resource& value) {
+    return {static_cast<resource_kind>(value.index()),
+            std::visit([](const auto& concrete) { return concrete.name; }, value)};
+}
+
+} // namespace boragehollow::config
