Add the HTTP server and client wrappers

Cause: callers, operators, targets and the platform log all speak HTTP, and a broken transfer must never look like a complete one. Change: packages/web wraps CivetWeb's server and client with streaming bodies, end-to-end header filtering and a typed error that tells a refused connection from a truncated body. Conclusion: duties can move bodies without knowing the library.

--- /dev/null
+++ b/packages/web/include/boragehollow/web/http_client.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/time.hpp"
+#include "boragehollow/web/error.hpp"
+#include "boragehollow/web/headers.hpp"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+struct mg_connection;
+
+namespace boragehollow::web {
+
+struct client_response_head {
+    int status = 0;
+    header_list headers;
+    std::optional<std::uint64_t>
+        content_length; ///< Empty for a chunked body or one that ends with the connection.
+};
+
+/// Client connection that serves one request at a time and can be used again after a complete exchange.
+class client_connection {
+public:
+    static tl::expected<client_connection, web_error> connect(const common::endpoint& server);
+
+    /// Sends the request line, headers and the first bytes of the body in one write. Without a length the
+    /// body is sent chunked, unless `has_body` is false.
+    tl::expected<void, web_error> send_request(std::string_view method, std::string_view target,
+                                               const header_list& headers, bool has_body,
+                                               std::optional<std::uint64_t> content_length,
+                                               std::string_view body_prefix = {});
+    tl::expected<void, web_error> write(std::string_view data);
+    tl::expected<void, web_error> finish_request();
+
+    /// Waits for the response head.
+    tl::expected<client_response_head, web_error> read_head(std::chrono::milliseconds timeout);
+
+    /// Next bytes of the response body, 0 at its end. Silence is tolerated until `deadline`.
+    tl::expected<std::size_t, web_error> read(std::span<char> buffer, common::steady_time deadline);
+
+    /// Whole response body, up to `limit` bytes.
+    tl::expected<std::string, web_error> read_all(std::size_t limit, common::steady_time deadline);
+
+    /// True when the response was read to its end and the server keeps the connection open.
+    bool reusable() const;
+    common::steady_time last_used() const { return m_last_used; }
+
+private:
+    struct close_connection {
+        void operator()(mg_connection* connection) const;
+    };
+
+    explicit client_connection(mg_connection* connection) : m_connection(connection) {}
+
+    tl::expected<void, web_error> send(std::string_view data);
+
+    std::unique_ptr<mg_connection, close_connection> m_connection;
+    common::endpoint m_server;
+    std::optional<std::uint64_t> m_content_length;
+    std::uint64_t m_body_read = 0;
+    common::steady_time m_last_used{};
+    bool m_head_request = false;
+    bool m_chunked_request = false;
+    bool m_chunked_response = false;
+    bool m_body_complete = false;
+    bool m_keep_alive = false;
+};
+
+struct client_response {
+    int status = 0;
+    header_list headers;
+    std::string body;
+};
+
+/// One complete exchange on a connection of its own, for control requests with small bodies.
+tl::expected<client_response, web_error> fetch(const common::endpoint& server, std::string_view method,
+                                               std::string_view target, const header_list& headers,
+                                               std::string_view body, std::chrono::milliseconds timeout);
+
+} // namespace boragehollow::web
--- /dev/null
+++ b/packages/web/include/boragehollow/web/http_server.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/time.hpp"
+#include "boragehollow/web/error.hpp"
+#include "boragehollow/web/headers.hpp"
+
+#include <tl/expected.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+struct mg_connection;
+struct mg_context;
+
+namespace boragehollow::web {
+
+/// One request on a server connection and the response to it. Used by the worker thread that serves it.
+class server_exchange {
+public:
+    explicit server_exchange(mg_connection* connection);
+
+    server_exchange(const server_exchange&) = delete;
+    server_exchange& operator=(const server_exchange&) = delete;
+
+    std::string_view method() const { return m_method; }
+    /// Path as sent, with escapes and without the query.
+    std::string_view path() const { return m_path; }
+    std::string_view query() const { return m_query; }
+    /// Path and query as sent.
+    std::string target() const;
+    const header_list& headers() const { return m_headers; }
+    std::optional<std::string_view> header_value(std::string_view name) const;
+    std::string_view remote_address() const { return m_remote_address; }
+    /// Declared length of the body; empty for a chunked body.
+    std::optional<std::uint64_t> content_length() const { return m_content_length; }
+    bool has_body() const;
+    /// Both a length and a transfer coding, or lengths that differ: the end of such a request is ambiguous.
+    bool has_ambiguous_length() const { return m_ambiguous_length; }
+
+    /// Reads the next bytes of the body; 0 means that it is complete.
+    tl::expected<std::size_t, web_error> read(std::span<char> buffer);
+    /// Reads the whole body, up to `limit` bytes.
+    tl::expected<std::string, web_error> read_all(std::size_t limit);
+
+    /// Sends a complete response.
+    bool respond(int status, const header_list& headers, std::string_view body);
+
+    /// Starts a streamed response; without a length it is sent chunked. `body_prefix` goes out in the same
+    /// write.
+    bool begin_response(int status, const header_list& headers, std::optional<std::uint64_t> content_length,
+                        std::string_view body_prefix = {});
+    bool write(std::string_view data);
+    bool finish_response();
+    /// Closes the connection after this exchange without completing the response, so that the client sees a
+    /// broken transfer.
+    void abort();
+    bool response_started() const { return m_response_started; }
+
+private:
+    bool send(std::string_view data);
+    bool body_allowed(int status) const;
+    void close_if_body_unread();
+
+    mg_connection* m_connection;
+    std::string m_method;
+    std::string m_path;
+    std::string m_query;
+    std::string m_remote_address;
+    header_list m_headers;
+    std::optional<std::uint64_t> m_content_length;
+    std::uint64_t m_body_read = 0;
+    std::uint64_t m_body_to_write = 0;
+    bool m_chunked_request = false;
+    bool m_ambiguous_length = false;
+    bool m_body_complete = false;
+    bool m_expects_continue = false;
+    bool m_http_1_0 = false;
+    bool m_response_started = false;
+    bool m_chunked_response = false;
+    bool m_omit_body = false;
+};
+
+struct server_options {
+    common::endpoint listen;
+    unsigned worker_threads = 32;
+    /// Longest silence of a client in the middle of a request.
+    std::chrono::milliseconds read_timeout{30'000};
+    std::chrono::milliseconds keep_alive_timeout{10'000};
+    std::size_t max_header_bytes = 16'384;
+};
+
+/// HTTP server. The handler runs on CivetWeb's worker threads, one for each open connection.
+class http_server {
+public:
+    using handler = std::function<void(server_exchange&)>;
+
+    static tl::expected<std::unique_ptr<http_server>, web_error> start(const server_options& options,
+                                                                       handler serve);
+
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    ~http_server();
+
+    /// Address that it listens on, with the port that the kernel chose.
+    const common::endpoint& local() const { return m_local; }
+    std::size_t requests_in_flight() const { return m_in_flight.load(); }
+
+private:
+    http_server() = default;
+
+    static int serve(mg_connection* connection, void* server);
+
+    handler m_handler;
+    common::endpoint m_local;
+    std::atomic<std::size_t> m_in_flight{0};
+    mg_context* m_context = nullptr;
+};
+
+} // namespace boragehollow::web
--- /dev/null
+++ b/packages/web/tests/http_exchange_test.cpp
@@ -0,0 +1,144 @@
+#include "boragehollow/web/http_client.hpp"
+#include "boragehollow/web/http_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <thread>
+
+namespace boragehollow::web {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t large_body = 3'000'000;
+
+common::steady_time soon() {
+    return common::steady_clock::now() + 10s;
+}
+
+void echo(server_exchange& exchange) {
+    const auto body = exchange.read_all(large_body + 1);
+    if (!body) {
+        exchange.abort();
+        return;
+    }
+    exchange.begin_response(200, {{"X-Target", exchange.target()}}, std::nullopt);
+    exchange.write(*body);
+    exchange.finish_response();
+}
+
+std::unique_ptr<http_server> start_server(http_server::handler serve) {
+    server_options options;
+    options.listen = {"127.0.0.1", 0};
+    options.worker_threads = 4;
+    auto server = http_server::start(options, std::move(serve));
+    EXPECT_TRUE(server) << server.error().detail;
+    return std::move(*server);
+}
+
+TEST(http_exchange, echoes_bodies_with_length_and_chunked_on_one_connection) {
+    const auto server = start_server(echo);
+    auto connection = client_connection::connect(server->local());
+    ASSERT_TRUE(connection);
+    for (const bool chunked : {false, true, false}) {
+        const std::string body(large_body, chunked ? 'c' : 'l');
+        const auto length = chunked ? std::nullopt : std::optional<std::uint64_t>(body.size());
+        ASSERT_TRUE(connection->send_request("POST", "/a%20b?x=%31", {}, true, length));
+        ASSERT_TRUE(connection->write(body));
+        ASSERT_TRUE(connection->finish_request());
+        const auto head = connection->read_head(5s);
+        ASSERT_TRUE(head) << head.error().detail;
+        EXPECT_EQ(find_header(head->headers, "x-target"), "/a%20b?x=%31");
+        const auto received = connection->read_all(large_body + 1, soon());
+        ASSERT_TRUE(received) << received.error().detail;
+        EXPECT_TRUE(*received == body);
+        EXPECT_TRUE(connection->reusable());
+    }
+}
+
+// A body that ends early must never look like a complete one.
+TEST(http_exchange, aborted_responses_are_reported_as_truncated) {
+    for (const bool chunked : {false, true}) {
+        const auto server = start_server([&](server_exchange& exchange) {
+            exchange.begin_response(200, {}, chunked ? std::nullopt : std::optional<std::uint64_t>(100));
+            exchange.write("partial");
+            exchange.abort();
+        });
+        auto connection = client_connection::connect(server->local());
+        ASSERT_TRUE(connection);
+        ASSERT_TRUE(connection->send_request("GET", "/", {}, false, std::nullopt));
+        ASSERT_TRUE(connection->read_head(5s));
+        const auto body = connection->read_all(1'000, soon());
+        ASSERT_FALSE(body) << "chunked: " << chunked;
+        EXPECT_EQ(body.error().kind, web_error_kind::truncated);
+        EXPECT_FALSE(connection->reusable());
+    }
+}
+
+TEST(http_exchange, truncated_request_body_is_reported_to_the_handler) {
+    std::atomic<bool> truncated = false;
+    std::atomic<bool> done = false;
+    auto server = start_server([&](server_exchange& exchange) {
+        const auto body = exchange.read_all(1'000);
+        truncated = !body && body.error().kind == web_error_kind::truncated;
+        done = true;
+        done.notify_all();
+    });
+    {
+        auto connection = client_connection::connect(server->local());
+        ASSERT_TRUE(connection);
+        ASSERT_TRUE(connection->send_request("POST", "/", {}, true, 50U, "short"));
+    }
+    done.wait(false);
+    EXPECT_TRUE(truncated);
+}
+
+TEST(http_exchange, refused_connection_says_that_nothing_was_sent) {
+    common::endpoint closed;
+    {
+        const auto server = start_server(echo);
+        closed = server->local();
+    }
+    const auto connection = client_connection::connect(closed);
+    ASSERT_FALSE(connection);
+    EXPECT_EQ(connection.error().kind, web_error_kind::connect_failed);
+}
+
+TEST(http_exchange, silent_server_times_out) {
+    const auto server = start_server([](server_exchange& exchange) {
+        std::this_thread::sleep_for(300ms);
+        exchange.respond(200, {}, "late");
+    });
+    auto connection = client_connection::connect(server->local());
+    ASSERT_TRUE(connection);
+    ASSERT_TRUE(connection->send_request("GET", "/", {}, false, std::nullopt));
+    const auto head = connection->read_head(50ms);
+    ASSERT_FALSE(head);
+    EXPECT_EQ(head.error().kind, web_error_kind::timed_out);
+}
+
+// A request with two ways to find its end could be read differently by the next hop.
+TEST(http_exchange, ambiguous_length_is_detected) {
+    const auto server = start_server([](server_exchange& exchange) {
+        exchange.respond(exchange.has_ambiguous_length() ? 400 : 200, {}, "");
+    });
+    const auto both =
+        fetch(server->local(), "POST", "/", {{"Transfer-Encoding", "chunked"}}, "0\r\n\r\n", 5s);
+    ASSERT_TRUE(both) << both.error().detail;
+    EXPECT_EQ(both->status, 400);
+}
+
+TEST(http_exchange, body_over_the_limit_is_refused) {
+    const auto server = start_server([](server_exchange& exchange) {
+        const auto body = exchange.read_all(10);
+        exchange.respond(body ? 200 : 413, {}, "");
+    });
+    const auto response = fetch(server->local(), "POST", "/", {}, std::string(11, 'x'), 5s);
+    ASSERT_TRUE(response) << response.error().detail;
+    EXPECT_EQ(response->status, 413);
+}
+
+} // namespace
+} // namespace boragehollow::web
--- /dev/null
+++ b/packages/web/tests/query_test.cpp
@@ -0,0 +1,26 @@
+#include "boragehollow/web/query.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehollow::web {
+namespace {
+
+TEST(query, decodes_parameters) {
+    const auto parameters = parse_query("from=7&name=a%20b&flag");
+    EXPECT_EQ(parameters.at("from"), "7");
+    EXPECT_EQ(parameters.at("name"), "a b");
+    EXPECT_EQ(parameters.at("flag"), "");
+}
+
+TEST(query, refuses_malformed_escapes) {
+    EXPECT_EQ(percent_decode("%2"), std::nullopt);
+    EXPECT_EQ(percent_decode("%zz"), std::nullopt);
+    EXPECT_EQ(percent_decode("%41"), "A");
+}
+
+TEST(query, splits_a_path_without_empty_segments) {
+    EXPECT_EQ(path_segments("//v1/changes/7/"), (std::vector<std::string>{"v1", "changes", "7"}));
+}
+
+} // namespace
+} // namespace boragehollow::web
