Add the gRPC service and client between daemons

Cause: the second hop of a call and all control messages need a transport that separates 'nothing was sent' from 'unknown'. Change: packages/peer with call streams, control requests, the channel pool, the mesh and protocol check and the link filter for tests; the call messages carry the load of the target.

--- /dev/null
+++ b/packages/peer/include/boragehollow/peer/call_messages.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "boragehollow/common/revision.hpp"
+#include "boragehollow/common/time.hpp"
+#include "boragehollow/config/resource.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Values that the two daemons of a call exchange.
+namespace boragehollow::peer {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+using header_fields = std::vector<std::pair<std::string, std::string>>;
+
+/// Everything that the target's daemon needs to admit and run a call without the caller's daemon's snapshot.
+struct call_head {
+    std::string call_id;
+    std::string service;
+    std::string method;
+    std::string target; ///< Path and query as the caller sent them.
+    header_fields headers;
+    config::work_class work = config::work_class::short_work;
+    bool idempotent = false;
+    std::optional<std::string> idempotency_key;
+    std::string caller;
+    microseconds remaining{0}; ///< Until the deadline, at the moment of sending.
+    common::wall_time deadline{};
+    std::uint32_t attempt = 1;
+    bool has_body = false;
+    std::optional<std::uint64_t> content_length; ///< Empty for a chunked body.
+    common::revision config_version;
+    std::string target_host;
+};
+
+struct call_request_part {
+    std::optional<call_head> head; ///< In the first part only.
+    std::string data;
+    bool end = false;
+};
+
+/// What a caller may be told about a call that got no whole response.
+enum class call_outcome { not_run, unknown };
+
+struct call_failure {
+    call_outcome outcome = call_outcome::unknown;
+    std::string reason; ///< Machine-readable.
+    std::string detail; ///< For a person.
+    milliseconds retry_after{0};
+};
+
+struct reply_head {
+    int status = 0;
+    header_fields headers;
+    std::optional<std::uint64_t> content_length;
+};
+
+struct target_load {
+    std::uint32_t queued = 0;
+    std::uint32_t in_use = 0;
+    std::uint32_t slots = 0;
+};
+
+struct call_reply_part {
+    std::optional<reply_head> head; ///< In the first part of a response.
+    std::string data;
+    bool end = false;
+    std::optional<call_failure> failure; ///< Ends the call without a whole response.
+    std::optional<target_load> load;
+};
+
+} // namespace boragehollow::peer
--- /dev/null
+++ b/packages/peer/include/boragehollow/peer/channel_pool.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/time.hpp"
+#include "boragehollow/peer/link_filter.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace grpc {
+class Channel;
+}
+
+namespace boragehollow::peer {
+
+/// Open gRPC channels by endpoint. The least recently used one is closed when there are too many: random
+/// anti-entropy partners would otherwise leave a connection to every daemon of the domain.
+class channel_pool {
+public:
+    channel_pool(std::size_t capacity, std::shared_ptr<const link_filter> links);
+    ~channel_pool();
+
+    channel_pool(const channel_pool&) = delete;
+    channel_pool& operator=(const channel_pool&) = delete;
+
+    /// Null when a test has cut the link.
+    std::shared_ptr<grpc::Channel> channel(const common::endpoint& remote);
+
+    /// Waits until the channel is connected. False means that nothing was sent: the daemon does not listen or
+    /// did not answer within `timeout`.
+    std::shared_ptr<grpc::Channel> connected_channel(const common::endpoint& remote,
+                                                     std::chrono::milliseconds timeout);
+
+private:
+    struct entry {
+        std::shared_ptr<grpc::Channel> channel;
+        std::list<common::endpoint>::iterator position;
+    };
+
+    std::mutex m_mutex;
+    std::size_t m_capacity;
+    std::shared_ptr<const link_filter> m_links;
+    std::map<common::endpoint, entry> m_entries;
+    std::list<common::endpoint> m_recently_used; ///< Most recent first.
+};
+
+} // namespace boragehollow::peer
--- /dev/null
+++ b/packages/peer/include/boragehollow/peer/control_client.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/peer/channel_pool.hpp"
+#include "boragehollow/peer/peer_header.hpp"
+
+#include <tl/expected.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace boragehollow::peer::v1 {
+class PushRequest;
+class PullRequest;
+class PullReply;
+class SyncRequest;
+class SyncReply;
+class ProgressQuery;
+class ProgressReply;
+class TimelineQuery;
+class TimelineReply;
+} // namespace boragehollow::peer::v1
+
+namespace boragehollow::peer {
+
+struct control_error {
+    std::string detail;
+};
+
+template <class Reply>
+using control_answer = std::function<void(tl::expected<Reply, control_error>)>;
+
+/// Control requests to other daemons. Answers arrive on gRPC's threads, which only put them on a ring.
+class control_client {
+public:
+    control_client(peer_identity identity, std::shared_ptr<channel_pool> channels);
+    /// Waits for the answers to the requests under way.
+    ~control_client();
+
+    control_client(const control_client&) = delete;
+    control_client& operator=(const control_client&) = delete;
+
+    void push(const common::endpoint& remote, v1::PushRequest request, std::chrono::milliseconds timeout,
+              std::function<void(tl::expected<void, control_error>)> answered);
+    void pull(const common::endpoint& remote, v1::PullRequest request, std::chrono::milliseconds timeout,
+              control_answer<v1::PullReply> answered);
+    void sync(const common::endpoint& remote, v1::SyncRequest request, std::chrono::milliseconds timeout,
+              control_answer<v1::SyncReply> answered);
+    void progress(const common::endpoint& remote, v1::ProgressQuery request, std::chrono::milliseconds timeout,
+                  control_answer<v1::ProgressReply> answered);
+    void timeline(const common::endpoint& remote, v1::TimelineQuery request, std::chrono::milliseconds timeout,
+                  control_answer<v1::TimelineReply> answered);
+
+private:
+    template <class Request, class Reply, class Start>
+    void send(const common::endpoint& remote, Request request, std::chrono::milliseconds timeout,
+              control_answer<Reply> answered, Start start);
+
+    peer_identity m_identity;
+    std::shared_ptr<channel_pool> m_channels;
+    std::mutex m_mutex;
+    std::condition_variable m_none_pending;
+    std::size_t m_pending = 0;
+};
+
+} // namespace boragehollow::peer
--- /dev/null
+++ b/packages/peer/src/control_client.cpp
@@ -0,0 +1,111 @@
+#include "boragehollow/peer/control_client.hpp"
+
+#include <grpcpp/grpcpp.h>
+#include <peer.grpc.pb.h>
+
+namespace boragehollow::peer {
+
+namespace {
+
+/// One request under way; it owns everything that gRPC refers to until the answer.
+template <class Request, class Reply>
+struct pending_request {
+    grpc::ClientContext context;
+    std::unique_ptr<v1::Peer::Stub> stub;
+    Request request;
+    Reply reply;
+};
+
+} // namespace
+
+control_client::control_client(peer_identity identity, std::shared_ptr<channel_pool> channels)
+    : m_identity(std::move(identity)), m_channels(std::move(channels)) {}
+
+control_client::~control_client() {
+    std::unique_lock lock(m_mutex);
+    m_none_pending.wait(lock, [&] { return m_pending == 0; });
+}
+
+template <class Request, class Reply, class Start>
+void control_client::send(const common::endpoint& remote, Request request, std::chrono::milliseconds timeout,
+                          control_answer<Reply> answered, Start start) {
+    const auto channel = m_channels->channel(remote);
+    if (!channel) {
+        answered(tl::unexpected(control_error{"the link to " + common::to_string(remote) + " is cut"}));
+        return;
+    }
+    auto pending = std::make_shared<pending_request<Request, Reply>>();
+    pending->stub = v1::Peer::NewStub(channel);
+    pending->request = std::move(request);
+    m_identity.write(*pending->request.mutable_header());
+    pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_pending;
+    }
+    auto done = [this, pending, answered = std::move(answered)](const grpc::Status& status) {
+        if (status.ok()) {
+            answered(std::move(pending->reply));
+        } else {
+            answered(tl::unexpected(control_error{status.error_message()}));
+        }
+        const std::lock_guard lock(m_mutex);
+        --m_pending;
+        m_none_pending.notify_all();
+    };
+    start(*pending, std::move(done));
+}
+
+void control_client::push(const common::endpoint& remote, v1::PushRequest request, std::chrono::milliseconds timeout,
+                          std::function<void(tl::expected<void, control_error>)> answered) {
+    control_answer<v1::PushReply> without_reply = [answered = std::move(answered)](auto reply) {
+        if (reply) {
+            answered({});
+        } else {
+            answered(tl::unexpected(reply.error()));
+        }
+    };
+    send<v1::PushRequest, v1::PushReply>(remote, std::move(request), timeout, std::move(without_reply),
+                                         [](auto& call, auto done) {
+                                             call.stub->async()->Push(&call.context, &call.request, &call.reply,
+                                                                      std::move(done));
+                                         });
+}
+
+void control_client::pull(const common::endpoint& remote, v1::PullRequest request, std::chrono::milliseconds timeout,
+                          control_answer<v1::PullReply> answered) {
+    send<v1::PullRequest, v1::PullReply>(remote, std::move(request), timeout, std::move(answered),
+                                         [](auto& call, auto done) {
+                                             call.stub->async()->Pull(&call.context, &call.request, &call.reply,
+                                                                      std::move(done));
+                                         });
+}
+
+void control_client::sync(const common::endpoint& remote, v1::SyncRequest request, std::chrono::milliseconds timeout,
+                          control_answer<v1::SyncReply> answered) {
+    send<v1::SyncRequest, v1::SyncReply>(remote, std::move(request), timeout, std::move(answered),
+                                         [](auto& call, auto done) {
+                                             call.stub->async()->Sync(&call.context, &call.request, &call.reply,
+                                                                      std::move(done));
+                                         });
+}
+
+void control_client::progress(const common::endpoint& remote, v1::ProgressQuery request,
+                              std::chrono::milliseconds timeout, control_answer<v1::ProgressReply> answered) {
+    send<v1::ProgressQuery, v1::ProgressReply>(remote, std::move(request), timeout, std::move(answered),
+                                               [](auto& call, auto done) {
+                                                   call.stub->async()->Progress(&call.context, &call.request,
+                                                                                &call.reply, std::move(done));
+                                               });
+}
+
+void control_client::timeline(const common::endpoint& remote, v1::TimelineQuery request,
+                              std::chrono::milliseconds timeout, control_answer<v1::TimelineReply> answered) {
+    send<v1::TimelineQuery, v1::TimelineReply>(remote, std::move(request), timeout, std::move(answered),
+                                               [](auto& call, auto done) {
+                                                   call.stub->async()->Timeline(&call.context, &call.request,
+                                                                                &call.reply, std::move(done));
+                                               });
+}
+
+} // namespace boragehollow::peer
--- /dev/null
+++ b/packages/peer/tests/call_test.cpp
@@ -0,0 +1,167 @@
+#include "boragehollow/peer/call_exchange.hpp"
+#include "boragehollow/peer/channel_pool.hpp"
+#include "boragehollow/peer/peer_server.hpp"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace boragehollow::peer {
+namespace {
+
+using namespace std::chrono_literals;
+
+peer_identity identity(const std::string& mesh = "test") {
+    return {mesh, "host-a", std::make_shared<common::hybrid_clock>()};
+}
+
+common::steady_time soon() { return common::steady_clock::now() + 5s; }
+
+struct fixture {
+    explicit fixture(std::function<void(call_head, call_request_part, call_stream&)> serve) {
+        peer_handlers handlers;
+        handlers.call = std::move(serve);
+        handlers.refused = [](const std::string&, const std::string&) {};
+        auto started = peer_server::start({{"127.0.0.1", 0}, 16}, identity(), handlers);
+        EXPECT_TRUE(started) << started.error();
+        server = std::move(*started);
+    }
+
+    std::shared_ptr<link_filter> links = std::make_shared<link_filter>();
+    channel_pool channels{8, links};
+    std::unique_ptr<peer_server> server;
+};
+
+call_request_part first_part(std::string data, bool end) {
+    call_head head;
+    head.call_id = "c1";
+    head.service = "order-desk";
+    head.remaining = 5s;
+    head.has_body = !data.empty();
+    return {head, std::move(data), end};
+}
+
+void echo(call_head head, call_request_part part, call_stream& stream) {
+    std::string body = part.data;
+    while (!part.end) {
+        auto next = stream.read();
+        if (!next) {
+            return;
+        }
+        part = std::move(*next);
+        body += part.data;
+    }
+    call_reply_part reply;
+    reply.head = reply_head{200, {{"X-Call", head.call_id}}, body.size()};
+    reply.data = body;
+    reply.end = true;
+    stream.write(reply);
+}
+
+TEST(call_exchange, passes_parts_in_both_directions) {
+    fixture mesh(echo);
+    const auto channel = mesh.channels.connected_channel(mesh.server->local(), 2s);
+    ASSERT_TRUE(channel);
+    call_exchange exchange;
+    exchange.start(channel, identity(), first_part("one", false), common::wall_now() + 5s);
+    std::optional<call_reply_part> reply;
+    while (!reply) {
+        const auto event = exchange.next_event(soon());
+        ASSERT_TRUE(event);
+        if (std::holds_alternative<write_done>(event->what) && !reply) {
+            static int writes = 0;
+            if (writes++ == 0) {
+                exchange.write(0, {std::nullopt, "two", true});
+            }
+            continue;
+        }
+        if (const auto* arrived = std::get_if<reply_arrived>(&event->what)) {
+            reply = arrived->part;
+        }
+    }
+    EXPECT_EQ(reply->data, "onetwo");
+    EXPECT_EQ(reply->head->headers.front().second, "c1");
+    EXPECT_TRUE(reply->end);
+}
+
+// A daemon that is not there must be recognised before anything is sent, or the call could not be retried.
+TEST(channel_pool, reports_a_refused_connection_before_anything_is_sent) {
+    common::endpoint closed;
+    {
+        fixture mesh(echo);
+        closed = mesh.server->local();
+    }
+    channel_pool channels(8, std::make_shared<link_filter>());
+    EXPECT_EQ(channels.connected_channel(closed, 2s), nullptr);
+}
+
+TEST(channel_pool, cut_link_gives_no_channel) {
+    fixture mesh(echo);
+    mesh.links->block_only({mesh.server->local()});
+    EXPECT_EQ(mesh.channels.connected_channel(mesh.server->local(), 1s), nullptr);
+    mesh.links->block_only({});
+    EXPECT_NE(mesh.channels.connected_channel(mesh.server->local(), 1s), nullptr);
+}
+
+// A stream that breaks after the request was sent leaves the outcome unknown.
+TEST(call_exchange, stream_without_final_message_is_lost_with_unknown_outcome) {
+    fixture mesh([](call_head, call_request_part, call_stream&) {});
+    const auto channel = mesh.channels.connected_channel(mesh.server->local(), 2s);
+    ASSERT_TRUE(channel);
+    call_exchange exchange;
+    exchange.start(channel, identity(), first_part("", true), common::wall_now() + 5s);
+    while (true) {
+        const auto event = exchange.next_event(soon());
+        ASSERT_TRUE(event);
+        if (const auto* lost = std::get_if<stream_lost>(&event->what)) {
+            EXPECT_FALSE(lost->not_run);
+            return;
+        }
+    }
+}
+
+TEST(call_exchange, another_mesh_is_refused_as_not_run) {
+    fixture mesh(echo);
+    const auto channel = mesh.channels.connected_channel(mesh.server->local(), 2s);
+    ASSERT_TRUE(channel);
+    call_exchange exchange;
+    exchange.start(channel, identity("other"), first_part("", true), common::wall_now() + 5s);
+    while (true) {
+        const auto event = exchange.next_event(soon());
+        ASSERT_TRUE(event);
+        if (const auto* lost = std::get_if<stream_lost>(&event->what)) {
+            EXPECT_TRUE(lost->not_run);
+            return;
+        }
+    }
+}
+
+TEST(call_exchange, two_attempts_are_waited_for_in_one_place) {
+    fixture mesh([](call_head head, call_request_part, call_stream& stream) {
+        call_reply_part reply;
+        reply.head = reply_head{200, {}, 0U};
+        reply.end = true;
+        if (head.attempt == 1) {
+            std::this_thread::sleep_for(200ms);
+        }
+        stream.write(reply);
+    });
+    const auto channel = mesh.channels.connected_channel(mesh.server->local(), 2s);
+    ASSERT_TRUE(channel);
+    call_exchange exchange;
+    call_request_part second = first_part("", true);
+    second.head->attempt = 2;
+    exchange.start(channel, identity(), first_part("", true), common::wall_now() + 5s);
+    exchange.start(channel, identity(), second, common::wall_now() + 5s);
+    while (true) {
+        const auto event = exchange.next_event(soon());
+        ASSERT_TRUE(event);
+        if (std::holds_alternative<reply_arrived>(event->what)) {
+            EXPECT_EQ(event->attempt, 1U);
+            return;
+        }
+    }
+}
+
+} // namespace
+} // namespace boragehollow::peer
