--- /dev/null
+++ b/packages/config/include/boragehollow/config/config_snapshot.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "boragehollow/config/change.hpp"
+#include "boragehollow/config/persistent_map.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace boragehollow::config {
+
+struct stored_resource {
+    resource value;
+    revision changed_at; ///< Record that put it last.
+
+    bool operator==(const stored_resource&) const = default;
+};
+
+/// Verdict on a change, kept so that a repeated append is recognised and operators can ask for it.
+struct change_outcome {
+    std::string change_id;
+    revision at;
+    std::string author;
+    verdict result;
+
+    bool operator==(const change_outcome&) const = default;
+};
+
+struct key_priority {
+    std::uint64_t operator()(const resource_key& key) const;
+    std::uint64_t operator()(const std::string& text) const;
+    std::uint64_t operator()(revision value) const;
+};
+
+using resource_map = persistent_map<resource_key, stored_resource, key_priority>;
+using outcome_map = persistent_map<revision, change_outcome, key_priority>;
+using outcome_index = persistent_map<std::string, revision, key_priority>;
+
+/// The whole configuration after one record. It is shared as a pointer to const and never changes; versions
+/// share the parts that are equal.
+class config_snapshot {
+public:
+    revision version;
+    std::uint64_t digest = 0; ///< Over all records and verdicts up to `version`.
+    std::uint32_t active_schema = 1;
+    resource_map resources;
+
+    const stored_resource* find(const resource_key& key) const { return resources.find(key); }
+    bool has_service(const std::string& name) const;
+
+    /// Outcomes of the last changes, oldest first.
+    const outcome_map& outcomes() const { return m_outcomes; }
+
+    /// Outcome of the change with this id, or null when it is unknown or was long ago.
+    const change_outcome* outcome_of(const std::string& change_id) const;
+
+    /// Keeps the outcome and forgets the oldest ones past the limit.
+    void remember(change_outcome outcome);
+
+private:
+    outcome_map m_outcomes;
+    outcome_index m_outcome_index;
+};
+
+/// Name of the service that a route or target rule refers to, or null.
+const std::string* referenced_service(const resource& value);
+
+} // namespace boragehollow::config
--- a/packages/config/include/boragehollow/config/resource.hpp
+++ b/packages/config/include/boragehollow/config/resource.hpp
@@ -18,11 +18,11 @@
 
 /// Sends calls that match host, path prefix and method to a service.
 struct route {
-    std::string name;
-    std::string host;                 ///< Host header without port; empty matches every host.
-    std::string path_prefix = "/";    ///< Matches whole path segments.
-    std::vector<std::string> methods; ///< Empty matches every method.
-    std::string service;
+    std::string name{};
+    std::string host{};                 ///< Host header without port; empty matches every host.
+    std::string path_prefix = "/";      ///< Matches whole path segments.
+    std::vector<std::string> methods{}; ///< Empty matches every method.
+    std::string service{};
     milliseconds deadline{10'000};
     bool idempotent = false;
     work_class work = work_class::short_work;
@@ -95,12 +95,12 @@
 
 /// Declares a service, and how calls to it are balanced, retried and admitted.
 struct service_policy {
-    std::string name;
+    std::string name{};
     balancing_policy balancing = peak_ewma{};
-    retry_policy retry;
-    hedging_policy hedging;
-    admission_policy admission;
-    ejection_policy ejection;
+    retry_policy retry{};
+    hedging_policy hedging{};
+    admission_policy admission{};
+    ejection_policy ejection{};
 
     bool operator==(const service_policy&) const = default;
 };
@@ -109,9 +109,9 @@
 
 /// Selects the targets of a service, and when calls leave the caller's failure domain.
 struct target_rule {
-    std::string name;
-    std::string service;
-    std::map<std::string, std::string> labels; ///< A target must carry all of them.
+    std::string name{};
+    std::string service{};
+    std::map<std::string, std::string> labels{}; ///< A target must carry all of them.
     domain_preference preference = domain_preference::local_first;
     double spill_over = 0.8; ///< Estimated use of the local targets past which others are chosen too.
 
@@ -125,7 +125,7 @@
 
 struct resource_key {
     resource_kind kind = resource_kind::route;
-    std::string name;
+    std::string name{};
 
     auto operator<=>(const resource_key&) const = default;
 };
--- /dev/null
+++ b/packages/config/src/config_state.cpp
@@ -0,0 +1,267 @@
+#include "boragehollow/config/config_state.hpp"
+
+#include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/common/rendezvous.hpp"
+#include "boragehollow/config/validation.hpp"
+
+#include <array>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace boragehollow::config {
+
+namespace {
+
+using step_result = tl::expected<void, rejected>;
+
+std::string path_of(std::size_t index, std::string_view part) {
+    return "operations[" + std::to_string(index) + "]." + std::string(part);
+}
+
+tl::unexpected<rejected> conflict(std::size_t index, const resource_key& key, revision expected,
+                                  const stored_resource* found) {
+    const std::string actual =
+        found == nullptr ? "it does not exist" : "it has revision " + std::to_string(found->changed_at.value);
+    return tl::unexpected(rejected{rejection_reason::revision_conflict,
+                                   "expected revision " + std::to_string(expected.value) + ", but " + actual,
+                                   path_of(index, "expected_revision"), key});
+}
+
+/// Applies one operation to `next`. Expected revisions refer to the state before the whole change, which is
+/// the same thing, as a change names each resource once.
+class operation_step {
+public:
+    operation_step(std::size_t index, revision at, config_snapshot& next)
+        : m_index(index), m_at(at), m_next(next) {}
+
+    step_result operator()(const put_operation& put) const {
+        const resource_key key = key_of(put.value);
+        const stored_resource* found = m_next.find(key);
+        const revision current = found == nullptr ? revision{} : found->changed_at;
+        if (put.expected && *put.expected != current) {
+            return conflict(m_index, key, *put.expected, found);
+        }
+        m_next.resources = m_next.resources.insert(key, stored_resource{put.value, m_at});
+        return {};
+    }
+
+    step_result operator()(const delete_operation& removal) const {
+        const stored_resource* found = m_next.find(removal.key);
+        const revision current = found == nullptr ? revision{} : found->changed_at;
+        if (removal.expected && *removal.expected != current) {
+            return conflict(m_index, removal.key, *removal.expected, found);
+        }
+        if (found == nullptr) {
+            return tl::unexpected(rejected{rejection_reason::not_found, "the resource does not exist",
+                                           path_of(m_index, "delete"), removal.key});
+        }
+        m_next.resources = m_next.resources.erase(removal.key);
+        return {};
+    }
+
+    step_result operator()(const activate_schema_operation& activation) const {
+        if (activation.schema != m_next.active_schema + 1) {
+            return tl::unexpected(rejected{rejection_reason::invalid_field,
+                                           "the active schema can only be raised by one, to " +
+                                               std::to_string(m_next.active_schema + 1),
+                                           path_of(m_index, "activate_schema"),
+                                           {}});
+        }
+        m_next.active_schema = activation.schema;
+        return {};
+    }
+
+private:
+    std::size_t m_index;
+    revision m_at;
+    config_snapshot& m_next;
+};
+
+/// References of the resources that the change puts.
+std::optional<rejected> find_dangling_put(const change& record, const config_snapshot& next) {
+    for (std::size_t i = 0; i < record.operations.size(); ++i) {
+        const auto* put = std::get_if<put_operation>(&record.operations[i]);
+        const std::string* service = put == nullptr ? nullptr : referenced_service(put->value);
+        if (service == nullptr || next.has_service(*service)) {
+            continue;
+        }
+        return rejected{rejection_reason::dangling_reference, "there is no service policy " + *service,
+                        path_of(i, "put.service"), key_of(put->value)};
+    }
+    return std::nullopt;
+}
+
+/// References to the services that the change deletes, found in one pass over all resources.
+std::optional<rejected> find_dangling_delete(const change& record, const config_snapshot& next) {
+    std::set<std::string> deleted;
+    for (const operation& step : record.operations) {
+        const auto* removal = std::get_if<delete_operation>(&step);
+        if (removal != nullptr && removal->key.kind == resource_kind::service_policy) {
+            deleted.insert(removal->key.name);
+        }
+    }
+    if (deleted.empty()) {
+        return std::nullopt;
+    }
+    for (const auto& [key, stored] : next.resources) {
+        const std::string* service = referenced_service(stored.value);
+        if (service == nullptr || !deleted.contains(*service)) {
+            continue;
+        }
+        return rejected{rejection_reason::dangling_reference,
+                        "the deleted service policy " + *service + " is still referred to", "operations",
+                        key};
+    }
+    return std::nullopt;
+}
+
+rejected clipped(rejected reason) {
+    reason.detail = clip(reason.detail, max_detail_length);
+    reason.field = clip(reason.field, max_detail_length);
+    if (reason.resource && !is_valid_name(reason.resource->name)) {
+        reason.resource.reset();
+    }
+    return reason;
+}
+
+void put_number(std::string& buffer, std::uint64_t value) {
+    for (int shift = 0; shift < 64; shift += 8) {
+        buffer.push_back(static_cast<char>((value >> shift) & 0xffU));
+    }
+}
+
+} // namespace
+
+std::uint64_t extend_digest(std::uint64_t previous, revision at, const verdict& result) {
+    // Details are for people and may be reworded between builds, so only the decision itself is covered.
+    const auto* reason = std::get_if<rejected>(&result);
+    std::string buffer;
+    put_number(buffer, previous);
+    put_number(buffer, at.value);
+    put_number(buffer, reason == nullptr ? 0 : 1 + static_cast<std::uint64_t>(reason->reason));
+    return common::stable_hash(buffer);
+}
+
+config_state::config_state(std::uint32_t newest_schema)
+    : m_newest_schema(newest_schema), m_current(std::make_shared<const config_snapshot>()) {}
+
+tl::expected<verdict, not_applied> config_state::apply(revision at, const change& record) {
+    if (const auto refused = refusal(at)) {
+        return tl::unexpected(*refused);
+    }
+    config_snapshot next = *m_current;
+    verdict result = decide(at, record, next);
+    if (auto* reason = std::get_if<rejected>(&result)) {
+        *reason = clipped(std::move(*reason));
+        next = *m_current;
+    }
+    const std::vector<field_fault> header_faults = validate_header(record);
+    const bool id_is_valid = header_faults.empty() || header_faults.front().field != "change_id";
+    if (id_is_valid && next.outcome_of(record.change_id) == nullptr) {
+        next.remember({record.change_id, at, clip(record.author, max_identifier_length), result});
+    }
+    publish(at, result, std::move(next));
+    return result;
+}
+
+tl::expected<verdict, not_applied> config_state::reject_undecodable(revision at, std::string detail) {
+    if (const auto refused = refusal(at)) {
+        return tl::unexpected(*refused);
+    }
+    return reject_record(at, {rejection_reason::undecodable, std::move(detail), "", {}});
+}
+
+tl::expected<verdict, not_applied> config_state::reject_oversized(revision at, std::string detail) {
+    if (const auto refused = refusal(at)) {
+        return tl::unexpected(*refused);
+    }
+    return reject_record(at, {rejection_reason::oversized, std::move(detail), "", {}});
+}
+
+tl::expected<void, not_applied> config_state::restore(std::shared_ptr<const config_snapshot> offered) {
+    if (offered->version < m_current->version) {
+        return tl::unexpected(not_newer{m_current->version, offered->version});
+    }
+    if (offered->version == m_current->version) {
+        if (offered->digest != m_current->digest) {
+            return tl::unexpected(digest_differs{offered->version});
+        }
+        return {};
+    }
+    if (offered->active_schema > m_newest_schema) {
+        m_stopped = unknown_schema{offered->active_schema, m_newest_schema};
+        return tl::unexpected(*m_stopped);
+    }
+    m_current = std::move(offered);
+    return {};
+}
+
+std::optional<not_applied> config_state::refusal(revision at) const {
+    if (at <= m_current->version) {
+        return not_newer{m_current->version, at};
+    }
+    if (m_stopped) {
+        return *m_stopped;
+    }
+    return std::nullopt;
+}
+
+verdict config_state::decide(revision at, const change& record, config_snapshot& next) const {
+    // The id is looked up before the schema is compared, so that the retry of a schema activation is a
+    // duplicate.
+    if (const auto faults = validate_header(record); !faults.empty()) {
+        return rejected{rejection_reason::invalid_field, faults.front().detail, faults.front().field, {}};
+    }
+    if (const change_outcome* known = next.outcome_of(record.change_id)) {
+        return rejected{rejection_reason::duplicate,
+                        "the change was decided at revision " + std::to_string(known->at.value),
+                        "change_id",
+                        {}};
+    }
+    if (record.schema != next.active_schema) {
+        return rejected{rejection_reason::schema_mismatch,
+                        "the active schema is " + std::to_string(next.active_schema),
+                        "schema",
+                        {}};
+    }
+    if (auto fault = validate_operations(record)) {
+        return *std::move(fault);
+    }
+    for (std::size_t i = 0; i < record.operations.size(); ++i) {
+        if (auto done = std::visit(operation_step(i, at, next), record.operations[i]); !done) {
+            return std::move(done).error();
+        }
+    }
+    if (next.resources.size() > max_resources) {
+        return rejected{rejection_reason::limit_exceeded,
+                        "the configuration would hold more than " + std::to_string(max_resources) +
+                            " resources",
+                        "operations",
+                        {}};
+    }
+    if (auto fault = find_dangling_put(record, next)) {
+        return *std::move(fault);
+    }
+    if (auto fault = find_dangling_delete(record, next)) {
+        return *std::move(fault);
+    }
+    return accepted{};
+}
+
+verdict config_state::reject_record(revision at, rejected reason) {
+    verdict result = clipped(std::move(reason));
+    publish(at, result, *m_current);
+    return result;
+}
+
+void config_state::publish(revision at, const verdict& result, config_snapshot next) {
+    next.version = at;
+    next.digest = extend_digest(m_current->digest, at, result);
+    if (next.active_schema > m_newest_schema) {
+        m_stopped = unknown_schema{next.active_schema, m_newest_schema};
+    }
+    m_current = std::make_shared<const config_snapshot>(std::move(next));
+}
+
+} // namespace boragehollow::config
--- /dev/null
+++ b/packages/config/src/validation.cpp
@@ -0,0 +1,303 @@
+#include "boragehollow/config/validation.hpp"
+
+#include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/config/limits.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace boragehollow::config {
+
+namespace {
+
+bool is_lower_alnum(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9');
+}
+
+bool is_printable(char c) {
+    return c > ' ' && c < '\x7f';
+}
+
+std::string shortened(milliseconds value) {
+    return std::to_string(value.count()) + "ms";
+}
+
+std::string shortened(double value) {
+    std::string text = std::to_string(value);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.back() == '.') {
+        text.pop_back();
+    }
+    return text;
+}
+
+std::string shortened(std::uint32_t value) {
+    return std::to_string(value);
+}
+
+/// Collects the faults of one resource.
+class fault_list {
+public:
+    void add(std::string field, std::string detail) {
+        m_faults.push_back({std::move(field), std::move(detail)});
+    }
+
+    template <class T>
+    void check_range(const std::string& field, T value, T low, T high) {
+        // Written so that a NaN fails as well.
+        if (value >= low && value <= high) {
+            return;
+        }
+        add(field, "must be from " + shortened(low) + " to " + shortened(high));
+    }
+
+    void check_name(const std::string& field, const std::string& value) {
+        if (is_valid_name(value)) {
+            return;
+        }
+        add(field, "must have 1 to " + std::to_string(max_name_length) +
+                       " of a-z, 0-9, '-', '.', '_' and begin with a letter or digit");
+    }
+
+    std::vector<field_fault> take() { return std::move(m_faults); }
+
+private:
+    std::vector<field_fault> m_faults;
+};
+
+bool is_valid_host(std::string_view host) {
+    return host.size() <= max_host_length && std::ranges::all_of(host, [](char c) {
+               return is_lower_alnum(c) || c == '.' || c == '-' || c == '_';
+           });
+}
+
+/// A prefix has one spelling only, since it is compared by segments: no empty, "." or ".." segment.
+bool is_valid_path(std::string_view path) {
+    if (path.empty() || path.size() > max_path_length || path.front() != '/') {
+        return false;
+    }
+    if (path == "/") {
+        return true;
+    }
+    for (std::size_t begin = 1; begin <= path.size();) {
+        const std::size_t end = std::min(path.find('/', begin), path.size());
+        const std::string_view segment = path.substr(begin, end - begin);
+        if (segment.empty() || segment == "." || segment == "..") {
+            return false;
+        }
+        begin = end + 1;
+    }
+    return std::ranges::all_of(path, [](char c) { return is_printable(c) && c != '?' && c != '#'; });
+}
+
+bool is_valid_method(std::string_view method) {
+    return !method.empty() && method.size() <= max_method_length &&
+           std::ranges::all_of(method, [](char c) { return (c >= 'A' && c <= 'Z') || c == '-'; });
+}
+
+void check_methods(const std::vector<std::string>& methods, fault_list& faults) {
+    if (methods.size() > max_methods) {
+        faults.add("methods", "must have at most " + std::to_string(max_methods) + " entries");
+        return;
+    }
+    std::set<std::string_view> seen;
+    for (std::size_t i = 0; i < methods.size(); ++i) {
+        const std::string field = "methods[" + std::to_string(i) + "]";
+        if (!is_valid_method(methods[i])) {
+            faults.add(field, "must have 1 to 32 of A-Z and '-'");
+            continue;
+        }
+        if (!seen.insert(methods[i]).second) {
+            faults.add(field, "stands in the list twice");
+        }
+    }
+}
+
+void check(const route& value, fault_list& faults) {
+    faults.check_name("name", value.name);
+    if (!is_valid_host(value.host)) {
+        faults.add("host", "must be empty, or at most 253 of a-z, 0-9, '.', '-', '_', without a port");
+    }
+    if (!is_valid_path(value.path_prefix)) {
+        faults.add("path_prefix",
+                   "must begin with '/', have at most 1024 printable characters, no '?' or '#', "
+                   "no empty, '.' or '..' segment and no '/' at the end");
+    }
+    check_methods(value.methods, faults);
+    faults.check_name("service", value.service);
+    faults.check_range("deadline", value.deadline, milliseconds{1}, max_deadline);
+}
+
+void check(const retry_policy& value, fault_list& faults) {
+    faults.check_range("retry.max_attempts", value.max_attempts, 1U, 10U);
+    faults.check_range("retry.budget_ratio", value.budget_ratio, 0.0, 1.0);
+    faults.check_range("retry.min_per_second", value.min_per_second, 0U, 1'000U);
+    faults.check_range("retry.base_backoff", value.base_backoff, milliseconds{1}, milliseconds{10'000});
+    faults.check_range("retry.max_backoff", value.max_backoff, milliseconds{1}, milliseconds{60'000});
+    if (value.max_backoff < value.base_backoff) {
+        faults.add("retry.max_backoff", "must not be less than retry.base_backoff");
+    }
+}
+
+void check(const hedging_policy& value, fault_list& faults) {
+    faults.check_range("hedging.min_delay", value.min_delay, milliseconds{1}, milliseconds{60'000});
+    faults.check_range("hedging.budget_ratio", value.budget_ratio, 0.0, 1.0);
+}
+
+void check(const admission_policy& value, fault_list& faults) {
+    faults.check_range("admission.queue_length", value.queue_length, 0U, 10'000U);
+    faults.check_range("admission.queue_max_wait", value.queue_max_wait, milliseconds{0},
+                       milliseconds{60'000});
+    faults.check_range("admission.reserved_short_slots", value.reserved_short_slots, 0U, 1'000U);
+    faults.check_range("admission.long_threshold", value.long_threshold, milliseconds{1}, max_deadline);
+}
+
+void check(const ejection_policy& value, fault_list& faults) {
+    faults.check_range("ejection.consecutive_failures", value.consecutive_failures, 1U, 1'000U);
+    if (value.latency_factor != 0.0) {
+        faults.check_range("ejection.latency_factor", value.latency_factor, 1.0, 100.0);
+    }
+    faults.check_range("ejection.base_time", value.base_time, milliseconds{1}, milliseconds{600'000});
+    faults.check_range("ejection.max_time", value.max_time, milliseconds{1}, milliseconds{3'600'000});
+    if (value.max_time < value.base_time) {
+        faults.add("ejection.max_time", "must not be less than ejection.base_time");
+    }
+    faults.check_range("ejection.max_fraction", value.max_fraction, 0.0, 1.0);
+    faults.check_range("ejection.panic_healthy_fraction", value.panic_healthy_fraction, 0.0, 1.0);
+}
+
+void check(const service_policy& value, fault_list& faults) {
+    faults.check_name("name", value.name);
+    if (const auto* ewma = std::get_if<peak_ewma>(&value.balancing)) {
+        faults.check_range("balancing.decay", ewma->decay, milliseconds{1}, milliseconds{600'000});
+    }
+    check(value.retry, faults);
+    check(value.hedging, faults);
+    check(value.admission, faults);
+    check(value.ejection, faults);
+}
+
+void check(const target_rule& value, fault_list& faults) {
+    faults.check_name("name", value.name);
+    faults.check_name("service", value.service);
+    if (value.labels.size() > max_labels) {
+        faults.add("labels", "must have at most " + std::to_string(max_labels) + " entries");
+    }
+    for (const auto& [key, text] : value.labels) {
+        const std::string field = "labels." + clip(key, max_name_length);
+        if (!is_valid_name(key)) {
+            faults.add(field, "the key must be a valid name");
+        }
+        if (text.size() > max_label_value_length || !std::ranges::all_of(text, is_printable)) {
+            faults.add(field, "the value must have at most 128 printable characters and no space");
+        }
+    }
+    faults.check_range("spill_over", value.spill_over, 0.0, 1.0);
+}
+
+bool is_valid_identifier(std::string_view text) {
+    return !text.empty() && text.size() <= max_identifier_length && std::ranges::all_of(text, is_printable);
+}
+
+std::optional<rejected> check_operation(const put_operation& put, const std::string& path) {
+    std::vector<field_fault> faults = validate(put.value);
+    if (faults.empty()) {
+        return std::nullopt;
+    }
+    return rejected{rejection_reason::invalid_field, std::move(faults.front().detail),
+                    path + ".put." + faults.front().field, key_of(put.value)};
+}
+
+std::optional<rejected> check_operation(const delete_operation& removal, const std::string& path) {
+    if (is_valid_name(removal.key.name)) {
+        return std::nullopt;
+    }
+    return rejected{rejection_reason::invalid_field, "the name is not valid", path + ".delete.name",
+                    removal.key};
+}
+
+std::optional<rejected> check_operation(const activate_schema_operation&, const std::string&) {
+    return std::nullopt;
+}
+
+std::optional<resource_key> key_of_operation(const operation& step) {
+    return std::visit(
+        common::overloaded{
+            [](const put_operation& put) -> std::optional<resource_key> { return key_of(put.value); },
+            [](const delete_operation& removal) -> std::optional<resource_key> { return removal.key; },
+            [](const activate_schema_operation&) -> std::optional<resource_key> { return std::nullopt; },
+        },
+        step);
+}
+
+} // namespace
+
+bool is_valid_name(std::string_view name) {
+    if (name.empty() || name.size() > max_name_length || !is_lower_alnum(name.front())) {
+        return false;
+    }
+    return std::ranges::all_of(name,
+                               [](char c) { return is_lower_alnum(c) || c == '-' || c == '.' || c == '_'; });
+}
+
+std::string clip(std::string_view text, std::size_t length) {
+    if (text.size() <= length) {
+        return std::string(text);
+    }
+    const auto is_continuation = [](char c) { return (static_cast<unsigned char>(c) & 0xc0U) == 0x80U; };
+    while (length > 0 && is_continuation(text[length])) {
+        --length;
+    }
+    return std::string(text.substr(0, length));
+}
+
+std::vector<field_fault> validate(const resource& value) {
+    fault_list faults;
+    std::visit([&faults](const auto& concrete) { check(concrete, faults); }, value);
+    return faults.take();
+}
+
+std::vector<field_fault> validate_header(const change& value) {
+    fault_list faults;
+    if (!is_valid_identifier(value.change_id)) {
+        faults.add("change_id", "must have 1 to 128 printable ASCII characters and no space");
+    }
+    if (value.author.size() > max_identifier_length) {
+        faults.add("author", "must have at most 128 bytes");
+    }
+    return faults.take();
+}
+
+std::optional<rejected> validate_operations(const change& value) {
+    const auto fault = [](rejection_reason reason, std::string detail, std::string field) {
+        return rejected{reason, std::move(detail), std::move(field), {}};
+    };
+    if (value.operations.empty()) {
+        return fault(rejection_reason::invalid_field, "must have at least one entry", "operations");
+    }
+    if (value.operations.size() > max_operations) {
+        return fault(rejection_reason::limit_exceeded,
+                     "must have at most " + std::to_string(max_operations) + " entries", "operations");
+    }
+    std::set<resource_key> seen;
+    for (std::size_t i = 0; i < value.operations.size(); ++i) {
+        const std::string path = "operations[" + std::to_string(i) + "]";
+        const std::optional<resource_key> key = key_of_operation(value.operations[i]);
+        if (!key && value.operations.size() > 1) {
+            return fault(rejection_reason::invalid_field, "must be the only operation of its change",
+                         path + ".activate_schema");
+        }
+        const auto check_step = [&path](const auto& step) { return check_operation(step, path); };
+        if (auto found = std::visit(check_step, value.operations[i])) {
+            return found;
+        }
+        if (key && !seen.insert(*key).second) {
+            return rejected{rejection_reason::invalid_field, "the change names this resource twice", path,
+                            key};
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace boragehollow::config
