--- /dev/null
+++ b/packages/settings/include/boragehollow/settings/daemon_settings.hpp
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Typed settings of one daemon. Defaults, units and descriptions of the entries stand in src/entries.cpp.
+namespace boragehollow::settings {
+
+using common::endpoint;
+using std::chrono::milliseconds;
+
+struct identity_settings {
+    std::string mesh;
+    std::string host;
+    std::string failure_domain;
+    std::string region;
+};
+
+/// Port 0 lets the system choose a port.
+struct listener_settings {
+    endpoint callers;
+    endpoint operators;
+    endpoint peer;   ///< gRPC between daemons (TCP).
+    endpoint gossip; ///< Failure detector (UDP).
+    endpoint target; ///< Announcements of the target on this host.
+};
+
+struct gossip_settings {
+    std::vector<endpoint> seeds;
+};
+
+struct platform_settings {
+    std::optional<endpoint> log;
+    milliseconds request_timeout{};
+    milliseconds long_poll{};
+    milliseconds min_backoff{};
+    milliseconds max_backoff{};
+};
+
+/// Capacities of the rings between duties, in messages.
+struct ring_settings {
+    std::size_t log_reader = 0;
+    std::size_t spreading = 0;
+    std::size_t apply = 0;
+    std::size_t publisher = 0;
+    std::size_t membership = 0;
+    std::size_t dispatch = 0;
+    std::size_t admission = 0;
+    std::size_t target_front = 0;
+    std::size_t timeline = 0;
+    std::size_t peer_sender = 0;
+};
+
+struct limit_settings {
+    std::size_t operator_body_bytes = 0;
+    std::size_t header_bytes = 0;
+    std::size_t caller_threads = 0;
+    std::size_t operator_threads = 0;
+    std::size_t target_threads = 0;
+    std::size_t target_connections = 0;
+    std::size_t recent_records = 0;
+    std::size_t recent_record_bytes = 0;
+    std::size_t snapshot_chunk_bytes = 0;
+    std::size_t snapshot_records = 0;
+    std::size_t concurrent_snapshot_pulls = 0;
+    std::size_t timeline_events = 0;
+};
+
+struct timing_settings {
+    milliseconds swim_period{};
+    milliseconds swim_ack_timeout{};
+    milliseconds suspicion{};
+    milliseconds table_sync{};
+    milliseconds pull_interval{};
+    milliseconds first_pull_jitter{};
+    milliseconds progress_interval{};
+    milliseconds heartbeat{};
+    std::uint32_t missed_heartbeats = 0;
+    milliseconds floor_retention{};
+    milliseconds snapshot_interval{};
+    milliseconds peer_request_timeout{};
+    milliseconds connect_timeout{};
+};
+
+struct call_settings {
+    milliseconds longest_deadline{};
+    milliseconds key_window{};
+    std::optional<milliseconds> drain_limit; ///< Empty: a stop waits until the last call has ended.
+};
+
+enum class log_level { debug, info, warning, error };
+
+struct logging_settings {
+    log_level level = log_level::info;
+};
+
+/// Which daemons read the platform log: the two readers of a domain, or each daemon (baseline).
+enum class log_reading_mode { roles, every_daemon };
+
+/// Admission on, or a first-in-first-out queue shared by all calls (baseline).
+enum class admission_mode { on, off_shared_fifo };
+
+/// Simpler ways of working, kept for measurements.
+struct baseline_settings {
+    log_reading_mode log_reading = log_reading_mode::roles;
+    admission_mode admission = admission_mode::on;
+};
+
+struct testing_settings {
+    bool allow_fault_injection = false;
+};
+
+struct daemon_settings {
+    identity_settings identity;
+    listener_settings listeners;
+    gossip_settings gossip;
+    platform_settings platform;
+    ring_settings rings;
+    limit_settings limits;
+    timing_settings timing;
+    call_settings calls;
+    logging_settings logging;
+    baseline_settings baseline;
+    testing_settings testing;
+};
+
+} // namespace boragehollow::settings
--- /dev/null
+++ b/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+/// The numbered events. docs/events.md lists the same numbers for operators, and a test holds both together.
+namespace boragehollow::telemetry {
+
+enum class event_level { debug, info, warning, error };
+
+/// One channel for each component; the hundreds of an event number give its channel.
+enum class event_channel {
+    daemon,
+    settings,
+    platform,
+    config,
+    spreading,
+    membership,
+    dispatch,
+    admission,
+    target,
+    operators,
+    peer,
+    testing,
+};
+
+enum class event_number : std::uint16_t {
+    daemon_starting = 1001,
+    daemon_ready = 1002,
+    daemon_not_ready = 1003,
+    daemon_stop_requested = 1004,
+    daemon_drained = 1005,
+    daemon_drain_limit_reached = 1006,
+    daemon_stopped = 1007,
+    daemon_failed = 1008,
+    listener_opened = 1009,
+    listener_failed = 1010,
+    ring_overflow = 1011,
+
+    settings_loaded = 1101,
+    settings_rejected = 1102,
+    settings_baseline_active = 1103,
+
+    log_reader_started = 1201,
+    log_reader_stopped = 1202,
+    log_unreachable = 1203,
+    log_reachable_again = 1204,
+    log_gap = 1205,
+    log_slow = 1206,
+    append_accepted = 1207,
+    append_answer_lost = 1208,
+    append_found_again = 1209,
+    append_refused = 1210,
+    snapshot_appended = 1211,
+    snapshot_append_failed = 1212,
+    log_reply_invalid = 1213,
+
+    config_applied = 1301,
+    config_rejected = 1302,
+    config_undecodable = 1303,
+    config_schema_unknown = 1304,
+    config_digest_differs = 1305,
+    config_snapshot_loaded = 1306,
+    config_snapshot_refused = 1307,
+    config_older_version_refused = 1308,
+    config_schema_activated = 1309,
+
+    spread_records_received = 1401,
+    spread_pull_answered = 1402,
+    spread_pull_failed = 1403,
+    spread_snapshot_served = 1404,
+    spread_snapshot_deferred = 1405,
+    spread_gap_waiting = 1406,
+    spread_floor_learned = 1407,
+    spread_floor_reached = 1408,
+    spread_compactor_elected = 1409,
+
+    member_joined = 1501,
+    member_suspected = 1502,
+    member_dead = 1503,
+    member_left = 1504,
+    member_refuted_suspicion = 1505,
+    member_replaced = 1506,
+    member_table_synced = 1507,
+    member_role_gained = 1508,
+    member_role_lost = 1509,
+    domain_unreachable = 1510,
+    datagram_invalid = 1511,
+
+    dispatch_no_target = 1601,
+    dispatch_target_ejected = 1602,
+    dispatch_target_returned = 1603,
+    dispatch_panic_entered = 1604,
+    dispatch_panic_left = 1605,
+    dispatch_retry_budget_spent = 1606,
+    dispatch_call_unknown = 1607,
+    dispatch_call_not_run = 1608,
+
+    admission_queue_full = 1701,
+    admission_refused_deadline = 1702,
+    admission_limit_lowered = 1703,
+    admission_limit_raised = 1704,
+    admission_duplicate_id = 1705,
+    admission_duplicate_key = 1706,
+    admission_queue_returned = 1707,
+    admission_long_reclassified = 1708,
+
+    target_announced = 1801,
+    target_draining = 1802,
+    target_silent = 1803,
+    target_returned = 1804,
+    target_announcement_invalid = 1805,
+    target_connect_failed = 1806,
+    target_transfer_broken = 1807,
+
+    operator_change_accepted = 1901,
+    operator_change_rejected = 1902,
+    operator_change_unknown = 1903,
+    operator_request_invalid = 1904,
+    operator_watch_opened = 1905,
+    operator_watch_closed = 1906,
+
+    peer_connected = 2001,
+    peer_unreachable = 2002,
+    peer_wrong_mesh = 2003,
+    peer_wrong_protocol = 2004,
+    peer_request_failed = 2005,
+    peer_message_invalid = 2006,
+
+    testing_links_blocked = 2101,
+    testing_links_restored = 2102,
+    testing_refused = 2103,
+};
+
+struct event_description {
+    event_number number;
+    event_level level;
+    event_channel channel;
+    std::string_view name; ///< Short identifier, as in the enumeration.
+    std::string_view meaning;
+};
+
+/// All events in the order of their numbers.
+std::span<const event_description> event_catalogue();
+
+/// Null for a number that is not in the catalogue, which a peer of another release may send.
+const event_description* find_event(std::uint16_t number);
+
+/// `BH1203`.
+std::string event_code(std::uint16_t number);
+
+std::string_view to_string(event_level level);
+std::string_view to_string(event_channel channel);
+
+/// The channel that the hundreds of a number stand for; numbers outside every range give false.
+bool number_belongs_to(std::uint16_t number, event_channel channel);
+
+} // namespace boragehollow::telemetry
--- /dev/null
+++ b/packages/telemetry/include/boragehollow/telemetry/timeline_buffer.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "boragehollow/common/hybrid_clock.hpp"
+#include "boragehollow/telemetry/event_catalogue.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace boragehollow::telemetry {
+
+/// One event as the timeline keeps it. The number, level and channel stay as sent, since a peer of another
+/// release may know other events.
+struct timeline_event {
+    common::hybrid_time at;
+    std::string host;
+    std::uint16_t number = 0;
+    std::string level;
+    std::string channel;
+    std::string text;
+    std::map<std::string, std::string> fields;
+
+    bool operator==(const timeline_event&) const = default;
+};
+
+struct timeline_page {
+    std::vector<timeline_event> events;
+    std::uint64_t dropped = 0; ///< Events that were displaced since the start of the process.
+};
+
+/// The latest events of one host, oldest first. Owned by the timeline duty; not safe to share.
+class timeline_buffer {
+public:
+    explicit timeline_buffer(std::size_t capacity) : m_capacity(capacity) {}
+
+    void add(timeline_event event);
+
+    /// The newest `limit` events that are later than `since`, oldest first.
+    timeline_page query(std::optional<common::hybrid_time> since, std::size_t limit) const;
+
+    std::uint64_t dropped() const { return m_dropped; }
+    std::size_t size() const { return m_events.size(); }
+
+private:
+    std::deque<timeline_event> m_events;
+    std::size_t m_capacity;
+    std::uint64_t m_dropped = 0;
+};
+
+/// One order over the events of several hosts: by time stamp, then host name, and each host's own order where
+/// its stamps are equal.
+std::vector<timeline_event> merge_timelines(const std::vector<std::vector<timeline_event>>& timelines);
+
+} // namespace boragehollow::telemetry
