Add the telemetry library: events, metrics and the timeline

Cause: every component reports through numbered events and metrics, and a fault needs one order of events over all hosts. Change: event catalogue with docs/events.md held to it by a test, event log over log4cplus, bounded timeline and its merge, counters, gauges and windowed latency distributions over Boost.Accumulators in the Prometheus text format.

--- /dev/null
+++ b/packages/telemetry/tests/event_log_test.cpp
@@ -0,0 +1,63 @@
+#include "boragehollow/telemetry/event_log.hpp"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boragehollow::telemetry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Guards against lines that a program cannot split again into their fields.
+TEST(event_log, quotes_values_that_would_break_a_line) {
+    const event_description* description = find_event(1203);
+    ASSERT_NE(description, nullptr);
+    const std::string line = format_event(
+        *description, {{"endpoint", "10.0.0.9:8100"}, {"error", "said \"no\"\nand left"}, {"empty", ""}});
+    EXPECT_EQ(line,
+              R"(BH1203 log_unreachable endpoint=10.0.0.9:8100 error="said \"no\"\nand left" empty="")");
+}
+
+TEST(event_log, writes_numbers_and_durations_with_their_unit) {
+    EXPECT_EQ(event_field("count", 7U).value, "7");
+    EXPECT_EQ(event_field("wait", milliseconds(3)).value, "3000us");
+    EXPECT_EQ(event_field("ready", true).value, "true");
+}
+
+// Guards against events that reach the log but not the timeline, or lose their level and channel on the way.
+TEST(event_log, hands_events_to_the_timeline_in_order) {
+    std::vector<timeline_event> received;
+    const event_log log("quito-norte-1", std::make_shared<common::hybrid_clock>(),
+                        [&](timeline_event event) { received.push_back(std::move(event)); });
+    log.emit(event_number::log_unreachable, {{"error", "refused"}});
+    log.emit(event_number::spread_records_received);
+    log.emit(event_number::log_reachable_again);
+
+    ASSERT_EQ(received.size(), 2U) << "events of level debug stay out of the timeline";
+    EXPECT_EQ(received[0].number, 1203);
+    EXPECT_EQ(received[0].host, "quito-norte-1");
+    EXPECT_EQ(received[0].level, "warning");
+    EXPECT_EQ(received[0].channel, "platform");
+    EXPECT_EQ(received[0].fields.at("error"), "refused");
+    EXPECT_LT(received[0].at, received[1].at);
+}
+
+// Guards against a log that writes below its level, or to standard output.
+TEST(event_log, writes_to_standard_error_from_the_set_level_on) {
+    const log_session session(event_level::warning);
+    const event_log log("h", std::make_shared<common::hybrid_clock>(), nullptr);
+    testing::internal::CaptureStderr();
+    testing::internal::CaptureStdout();
+    log.emit(event_number::log_reachable_again);
+    log.emit(event_number::log_unreachable, {{"error", "refused"}});
+    const std::string error = testing::internal::GetCapturedStderr();
+    EXPECT_EQ(testing::internal::GetCapturedStdout(), "");
+    EXPECT_EQ(error.find("BH1204"), std::string::npos);
+    EXPECT_NE(error.find("WARN  platform BH1203 log_unreachable error=refused"), std::string::npos) << error;
+}
+
+} // namespace
+} // namespace boragehollow::telemetry
--- /dev/null
+++ b/packages/telemetry/tests/timeline_buffer_test.cpp
@@ -0,0 +1,54 @@
+#include "boragehollow/telemetry/timeline_buffer.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehollow::telemetry {
+namespace {
+
+using namespace std::chrono_literals;
+
+timeline_event event_at(std::chrono::microseconds wall, std::uint32_t counter, const std::string& host) {
+    timeline_event event;
+    event.at = {common::wall_time(wall), counter};
+    event.host = host;
+    return event;
+}
+
+// Guards against a timeline that grows without a bound or hides that events are missing.
+TEST(timeline_buffer, drops_the_oldest_events_and_counts_them) {
+    timeline_buffer buffer(2);
+    for (int index = 0; index < 5; ++index) {
+        buffer.add(event_at(1us, static_cast<std::uint32_t>(index), "a"));
+    }
+    const timeline_page page = buffer.query(std::nullopt, 10);
+    EXPECT_EQ(page.dropped, 3U);
+    ASSERT_EQ(page.events.size(), 2U);
+    EXPECT_EQ(page.events[0].at.counter, 3U);
+}
+
+TEST(timeline_buffer, answers_the_newest_events_after_a_time) {
+    timeline_buffer buffer(10);
+    for (int index = 0; index < 5; ++index) {
+        buffer.add(event_at(std::chrono::microseconds(index), 0, "a"));
+    }
+    EXPECT_EQ(buffer.query(event_at(2us, 0, "a").at, 10).events.size(), 2U);
+    const timeline_page newest = buffer.query(std::nullopt, 3);
+    ASSERT_EQ(newest.events.size(), 3U);
+    EXPECT_EQ(newest.events[0].at.wall, common::wall_time(2us));
+}
+
+// Guards against an effect that stands before its cause when the hosts' timelines are laid together.
+TEST(timeline_buffer, merges_hosts_by_time_then_counter_then_host) {
+    const std::vector<timeline_event> merged = merge_timelines({
+        {event_at(1us, 0, "b"), event_at(3us, 1, "b")},
+        {event_at(1us, 0, "a"), event_at(3us, 0, "a")},
+    });
+    ASSERT_EQ(merged.size(), 4U);
+    EXPECT_EQ(merged[0].host, "a");
+    EXPECT_EQ(merged[1].host, "b");
+    EXPECT_EQ(merged[2].host, "a");
+    EXPECT_EQ(merged[3].at.counter, 1U);
+}
+
+} // namespace
+} // namespace boragehollow::telemetry
