Repair the start of a call stream and the end of a control request

Cause: with corked metadata gRPC takes no start tag, so no event ever arrived; a control request released its channel after the client's destructor had returned, which tripped gRPC's reference count. Change: the first write follows the start directly; the completion releases the request before it reports itself done.

--- a/packages/peer/include/boragehollow/peer/call_exchange.hpp
+++ b/packages/peer/include/boragehollow/peer/call_exchange.hpp
@@ -31,8 +31,8 @@
     bool sent = false;
 };
 
-/// The stream ended without a final message: the connection broke, or the peer refused the stream. Whether the
-/// call was run is unknown, unless `not_run`.
+/// The stream ended without a final message: the connection broke, or the peer refused the stream. Whether
+/// the call was run is unknown, unless `not_run`.
 struct stream_lost {
     bool not_run = false;
     std::string detail;
--- a/packages/peer/include/boragehollow/peer/control_client.hpp
+++ b/packages/peer/include/boragehollow/peer/control_client.hpp
@@ -51,10 +51,10 @@
               control_answer<v1::PullReply> answered);
     void sync(const common::endpoint& remote, v1::SyncRequest request, std::chrono::milliseconds timeout,
               control_answer<v1::SyncReply> answered);
-    void progress(const common::endpoint& remote, v1::ProgressQuery request, std::chrono::milliseconds timeout,
-                  control_answer<v1::ProgressReply> answered);
-    void timeline(const common::endpoint& remote, v1::TimelineQuery request, std::chrono::milliseconds timeout,
-                  control_answer<v1::TimelineReply> answered);
+    void progress(const common::endpoint& remote, v1::ProgressQuery request,
+                  std::chrono::milliseconds timeout, control_answer<v1::ProgressReply> answered);
+    void timeline(const common::endpoint& remote, v1::TimelineQuery request,
+                  std::chrono::milliseconds timeout, control_answer<v1::TimelineReply> answered);
 
 private:
     template <class Request, class Reply, class Start>
--- a/packages/peer/include/boragehollow/peer/peer_server.hpp
+++ b/packages/peer/include/boragehollow/peer/peer_server.hpp
@@ -62,9 +62,8 @@
 
 class peer_server {
 public:
-    static tl::expected<std::unique_ptr<peer_server>, std::string> start(const peer_server_options& options,
-                                                                         peer_identity identity,
-                                                                         peer_handlers handlers);
+    static tl::expected<std::unique_ptr<peer_server>, std::string>
+    start(const peer_server_options& options, peer_identity identity, peer_handlers handlers);
     ~peer_server();
 
     peer_server(const peer_server&) = delete;
--- a/packages/peer/src/call_codec.cpp
+++ b/packages/peer/src/call_codec.cpp
@@ -23,7 +23,9 @@
     return fields;
 }
 
-std::uint64_t count(auto duration) { return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count())); }
+std::uint64_t count(auto duration) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count()));
+}
 
 void encode_head(const call_head& head, v1::CallHead& message) {
     message.set_call_id(head.call_id);
--- a/packages/peer/src/call_exchange.cpp
+++ b/packages/peer/src/call_exchange.cpp
@@ -11,15 +11,20 @@
 
 namespace {
 
-enum class step : std::uintptr_t { start, write, read, finish };
+enum class step : std::uintptr_t { write, read, finish };
 
 /// Tags carry the attempt and the step, so that no object has to outlive its operation for them.
 void* make_tag(attempt_index attempt, step what) {
-    return reinterpret_cast<void*>((attempt << 2U) | static_cast<std::uintptr_t>(what)); // NOLINT(performance-no-int-to-ptr)
+    return reinterpret_cast<void*>((attempt << 2U) |
+                                   static_cast<std::uintptr_t>(what)); // NOLINT(performance-no-int-to-ptr)
 }
 
-attempt_index attempt_of(void* tag) { return reinterpret_cast<std::uintptr_t>(tag) >> 2U; }
-step step_of(void* tag) { return static_cast<step>(reinterpret_cast<std::uintptr_t>(tag) & 3U); }
+attempt_index attempt_of(void* tag) {
+    return reinterpret_cast<std::uintptr_t>(tag) >> 2U;
+}
+step step_of(void* tag) {
+    return static_cast<step>(reinterpret_cast<std::uintptr_t>(tag) & 3U);
+}
 
 /// The server refuses a stream with this code before a handler sees it, when its threads are all busy.
 bool refused_before_handler(const grpc::Status& status) {
@@ -36,13 +41,9 @@
     v1::CallRequest request;
     v1::CallReply reply;
     grpc::Status status;
-    bool write_pending = false;
     bool read_pending = false;
-    bool started = false;
     bool finishing = false;
-    bool finished = false;
     bool got_reply = false;
-    bool last_write = false;
 };
 
 struct call_exchange::state {
@@ -62,7 +63,6 @@
 
     void send(attempt_index index) {
         attempt_stream& attempt = *attempts[index];
-        attempt.write_pending = true;
         ++operations;
         grpc::WriteOptions options;
         if (attempt.request.end()) {
@@ -86,17 +86,7 @@
         const attempt_index index = attempt_of(tag);
         attempt_stream& attempt = *attempts[index];
         switch (step_of(tag)) {
-        case step::start:
-            attempt.started = true;
-            if (!ok) {
-                finish(index);
-                return std::nullopt;
-            }
-            send(index);
-            receive(index);
-            return std::nullopt;
         case step::write:
-            attempt.write_pending = false;
             return exchange_event{index, write_done{ok}};
         case step::read:
             attempt.read_pending = false;
@@ -107,9 +97,9 @@
             attempt.got_reply = true;
             return exchange_event{index, reply_arrived{decode(std::move(attempt.reply))}};
         case step::finish:
-            attempt.finished = true;
-            return exchange_event{index, stream_lost{!attempt.got_reply && refused_before_handler(attempt.status),
-                                                     attempt.status.error_message()}};
+            return exchange_event{index,
+                                  stream_lost{!attempt.got_reply && refused_before_handler(attempt.status),
+                                              attempt.status.error_message()}};
         }
         return std::nullopt;
     }
@@ -128,20 +118,22 @@
     }
 }
 
-attempt_index call_exchange::start(const std::shared_ptr<grpc::Channel>& channel, const peer_identity& identity,
-                                   call_request_part first, common::wall_time deadline) {
+attempt_index call_exchange::start(const std::shared_ptr<grpc::Channel>& channel,
+                                   const peer_identity& identity, call_request_part first,
+                                   common::wall_time deadline) {
     const attempt_index index = m_state->attempts.size();
     m_state->attempts.push_back(std::make_unique<attempt_stream>());
     attempt_stream& attempt = *m_state->attempts.back();
-    attempt.context.set_deadline(deadline);
+    attempt.context.set_deadline(std::chrono::system_clock::time_point(deadline));
     attempt.stub = v1::Peer::NewStub(channel);
     encode(first, attempt.request);
     identity.write(*attempt.request.mutable_head()->mutable_header());
     // The initial metadata leaves with the first message, which saves a packet on every call.
     attempt.context.set_initial_metadata_corked(true);
     attempt.stream = attempt.stub->PrepareAsyncCall(&attempt.context, &m_state->queue);
-    ++m_state->operations;
-    attempt.stream->StartCall(make_tag(index, step::start));
+    attempt.stream->StartCall(nullptr);
+    m_state->send(index);
+    m_state->receive(index);
     return index;
 }
 
@@ -152,17 +144,21 @@
     m_state->send(index);
 }
 
-void call_exchange::read_next(attempt_index index) { m_state->receive(index); }
+void call_exchange::read_next(attempt_index index) {
+    m_state->receive(index);
+}
 
-void call_exchange::cancel(attempt_index index) { m_state->attempts[index]->context.TryCancel(); }
+void call_exchange::cancel(attempt_index index) {
+    m_state->attempts[index]->context.TryCancel();
+}
 
 std::optional<exchange_event> call_exchange::next_event(common::steady_time deadline) {
     while (m_state->operations > 0) {
         void* tag = nullptr;
         bool ok = false;
-        const auto wall_deadline =
-            std::chrono::system_clock::now() +
-            std::chrono::duration_cast<std::chrono::system_clock::duration>(deadline - common::steady_clock::now());
+        const auto wall_deadline = std::chrono::system_clock::now() +
+                                   std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                                       deadline - common::steady_clock::now());
         const auto status = m_state->queue.AsyncNext(&tag, &ok, wall_deadline);
         if (status != grpc::CompletionQueue::GOT_EVENT) {
             return std::nullopt;
--- a/packages/peer/src/channel_pool.cpp
+++ b/packages/peer/src/channel_pool.cpp
@@ -48,8 +48,8 @@
         m_recently_used.pop_back();
     }
     const std::string family = remote.address.find(':') == std::string::npos ? "ipv4:" : "ipv6:";
-    auto created = grpc::CreateCustomChannel(family + common::to_string(remote), grpc::InsecureChannelCredentials(),
-                                             channel_arguments());
+    auto created = grpc::CreateCustomChannel(family + common::to_string(remote),
+                                             grpc::InsecureChannelCredentials(), channel_arguments());
     m_recently_used.push_front(remote);
     m_entries[remote] = {created, m_recently_used.begin()};
     return created;
--- a/packages/peer/src/control_client.cpp
+++ b/packages/peer/src/control_client.cpp
@@ -43,12 +43,14 @@
         const std::lock_guard lock(m_mutex);
         ++m_pending;
     }
-    auto done = [this, pending, answered = std::move(answered)](const grpc::Status& status) {
+    auto done = [this, pending, answered = std::move(answered)](const grpc::Status& status) mutable {
         if (status.ok()) {
             answered(std::move(pending->reply));
         } else {
             answered(tl::unexpected(control_error{status.error_message()}));
         }
+        // Releases the channel before the destructor may continue.
+        pending.reset();
         const std::lock_guard lock(m_mutex);
         --m_pending;
         m_none_pending.notify_all();
@@ -56,7 +58,8 @@
     start(*pending, std::move(done));
 }
 
-void control_client::push(const common::endpoint& remote, v1::PushRequest request, std::chrono::milliseconds timeout,
+void control_client::push(const common::endpoint& remote, v1::PushRequest request,
+                          std::chrono::milliseconds timeout,
                           std::function<void(tl::expected<void, control_error>)> answered) {
     control_answer<v1::PushReply> without_reply = [answered = std::move(answered)](auto reply) {
         if (reply) {
@@ -65,47 +68,42 @@
             answered(tl::unexpected(reply.error()));
         }
     };
-    send<v1::PushRequest, v1::PushReply>(remote, std::move(request), timeout, std::move(without_reply),
-                                         [](auto& call, auto done) {
-                                             call.stub->async()->Push(&call.context, &call.request, &call.reply,
-                                                                      std::move(done));
-                                         });
+    send<v1::PushRequest, v1::PushReply>(
+        remote, std::move(request), timeout, std::move(without_reply), [](auto& call, auto done) {
+            call.stub->async()->Push(&call.context, &call.request, &call.reply, std::move(done));
+        });
 }
 
-void control_client::pull(const common::endpoint& remote, v1::PullRequest request, std::chrono::milliseconds timeout,
-                          control_answer<v1::PullReply> answered) {
-    send<v1::PullRequest, v1::PullReply>(remote, std::move(request), timeout, std::move(answered),
-                                         [](auto& call, auto done) {
-                                             call.stub->async()->Pull(&call.context, &call.request, &call.reply,
-                                                                      std::move(done));
-                                         });
+void control_client::pull(const common::endpoint& remote, v1::PullRequest request,
+                          std::chrono::milliseconds timeout, control_answer<v1::PullReply> answered) {
+    send<v1::PullRequest, v1::PullReply>(
+        remote, std::move(request), timeout, std::move(answered), [](auto& call, auto done) {
+            call.stub->async()->Pull(&call.context, &call.request, &call.reply, std::move(done));
+        });
 }
 
-void control_client::sync(const common::endpoint& remote, v1::SyncRequest request, std::chrono::milliseconds timeout,
-                          control_answer<v1::SyncReply> answered) {
-    send<v1::SyncRequest, v1::SyncReply>(remote, std::move(request), timeout, std::move(answered),
-                                         [](auto& call, auto done) {
-                                             call.stub->async()->Sync(&call.context, &call.request, &call.reply,
-                                                                      std::move(done));
-                                         });
+void control_client::sync(const common::endpoint& remote, v1::SyncRequest request,
+                          std::chrono::milliseconds timeout, control_answer<v1::SyncReply> answered) {
+    send<v1::SyncRequest, v1::SyncReply>(
+        remote, std::move(request), timeout, std::move(answered), [](auto& call, auto done) {
+            call.stub->async()->Sync(&call.context, &call.request, &call.reply, std::move(done));
+        });
 }
 
 void control_client::progress(const common::endpoint& remote, v1::ProgressQuery request,
                               std::chrono::milliseconds timeout, control_answer<v1::ProgressReply> answered) {
-    send<v1::ProgressQuery, v1::ProgressReply>(remote, std::move(request), timeout, std::move(answered),
-                                               [](auto& call, auto done) {
-                                                   call.stub->async()->Progress(&call.context, &call.request,
-                                                                                &call.reply, std::move(done));
-                                               });
+    send<v1::ProgressQuery, v1::ProgressReply>(
+        remote, std::move(request), timeout, std::move(answered), [](auto& call, auto done) {
+            call.stub->async()->Progress(&call.context, &call.request, &call.reply, std::move(done));
+        });
 }
 
 void control_client::timeline(const common::endpoint& remote, v1::TimelineQuery request,
                               std::chrono::milliseconds timeout, control_answer<v1::TimelineReply> answered) {
-    send<v1::TimelineQuery, v1::TimelineReply>(remote, std::move(request), timeout, std::move(answered),
-                                               [](auto& call, auto done) {
-                                                   call.stub->async()->Timeline(&call.context, &call.request,
-                                                                                &call.reply, std::move(done));
-                                               });
+    send<v1::TimelineQuery, v1::TimelineReply>(
+        remote, std::move(request), timeout, std::move(answered), [](auto& call, auto done) {
+            call.stub->async()->Timeline(&call.context, &call.request, &call.reply, std::move(done));
+        });
 }
 
 } // namespace boragehollow::peer
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -31,7 +31,9 @@
     return m_access->stream.Write(message, options);
 }
 
-bool call_stream::cancelled() const { return m_access->context.IsCancelled(); }
+bool call_stream::cancelled() const {
+    return m_access->context.IsCancelled();
+}
 
 namespace {
 
@@ -67,12 +69,14 @@
         return checked.ok() ? answer(m_handlers.push(*request)) : checked;
     }
 
-    grpc::Status Pull(grpc::ServerContext* context, const v1::PullRequest* request, v1::PullReply* reply) override {
+    grpc::Status Pull(grpc::ServerContext* context, const v1::PullRequest* request,
+                      v1::PullReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
         return checked.ok() ? answer(m_handlers.pull(*request, *reply)) : checked;
     }
 
-    grpc::Status Sync(grpc::ServerContext* context, const v1::SyncRequest* request, v1::SyncReply* reply) override {
+    grpc::Status Sync(grpc::ServerContext* context, const v1::SyncRequest* request,
+                      v1::SyncReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
         return checked.ok() ? answer(m_handlers.sync(*request, *reply)) : checked;
     }
@@ -95,7 +99,8 @@
         if (!refusal) {
             return grpc::Status::OK;
         }
-        const char* reason = *refusal == peer_identity::refusal::other_mesh ? "another mesh" : "unknown protocol number";
+        const char* reason =
+            *refusal == peer_identity::refusal::other_mesh ? "another mesh" : "unknown protocol number";
         m_handlers.refused(context.peer(), reason);
         return {grpc::StatusCode::FAILED_PRECONDITION, reason};
     }
@@ -114,7 +119,8 @@
 } // namespace
 
 struct peer_server::state {
-    state(peer_identity identity, peer_handlers handlers) : service(std::move(identity), std::move(handlers)) {}
+    state(peer_identity identity, peer_handlers handlers)
+        : service(std::move(identity), std::move(handlers)) {}
 
     peer_service service;
     std::unique_ptr<grpc::Server> server;
@@ -123,9 +129,13 @@
 
 peer_server::peer_server(std::unique_ptr<state> initial) : m_state(std::move(initial)) {}
 
-peer_server::~peer_server() { stop(std::chrono::milliseconds(0)); }
+peer_server::~peer_server() {
+    stop(std::chrono::milliseconds(0));
+}
 
-const common::endpoint& peer_server::local() const { return m_state->local; }
+const common::endpoint& peer_server::local() const {
+    return m_state->local;
+}
 
 void peer_server::stop(std::chrono::milliseconds grace) {
     if (!m_state->server) {
@@ -136,9 +146,8 @@
     m_state->server.reset();
 }
 
-tl::expected<std::unique_ptr<peer_server>, std::string> peer_server::start(const peer_server_options& options,
-                                                                           peer_identity identity,
-                                                                           peer_handlers handlers) {
+tl::expected<std::unique_ptr<peer_server>, std::string>
+peer_server::start(const peer_server_options& options, peer_identity identity, peer_handlers handlers) {
     auto initial = std::make_unique<state>(std::move(identity), std::move(handlers));
     grpc::ServerBuilder builder;
     int port = 0;
--- a/packages/peer/tests/call_test.cpp
+++ b/packages/peer/tests/call_test.cpp
@@ -15,7 +15,9 @@
     return {mesh, "host-a", std::make_shared<common::hybrid_clock>()};
 }
 
-common::steady_time soon() { return common::steady_clock::now() + 5s; }
+common::steady_time soon() {
+    return common::steady_clock::now() + 5s;
+}
 
 struct fixture {
     explicit fixture(std::function<void(call_head, call_request_part, call_stream&)> serve) {
--- a/packages/peer/tests/control_test.cpp
+++ b/packages/peer/tests/control_test.cpp
@@ -10,7 +10,9 @@
 
 using namespace std::chrono_literals;
 
-peer_identity identity(const std::string& mesh) { return {mesh, "host-a", std::make_shared<common::hybrid_clock>()}; }
+peer_identity identity(const std::string& mesh) {
+    return {mesh, "host-a", std::make_shared<common::hybrid_clock>()};
+}
 
 using pull_result = tl::expected<v1::PullReply, control_error>;
 
@@ -40,7 +42,9 @@
     EXPECT_EQ(result->responder_version(), 7U);
 }
 
-TEST(control_client, busy_daemon_gives_an_error) { EXPECT_FALSE(pull_once("test", false)); }
+TEST(control_client, busy_daemon_gives_an_error) {
+    EXPECT_FALSE(pull_once("test", false));
+}
 
 // Two meshes that share a network by mistake must not exchange configuration.
 TEST(control_client, another_mesh_is_refused) {
