--- a/tools/bench/config_bench.cpp
+++ b/tools/bench/config_bench.cpp
@@ -1,6 +1,7 @@
 // Measures the configuration libraries with 2,000 resources: 500 service policies, 1,000 routes, 500 rules.
 #include "boragehollow/common/time.hpp"
 #include "boragehollow/config/config_state.hpp"
+#include "boragehollow/routing/route_table.hpp"
 
 #include <algorithm>
 #include <cstdio>
@@ -76,6 +77,30 @@
     std::printf("%-28s resources=%zu rejected=%zu\n", "", state.snapshot()->resources.size(), rejected_count);
 }
 
+/// Times batches of lookups, since one lookup is too short for the clock.
+void measure_match(const routing::route_table& table) {
+    constexpr int batch = 100;
+    std::vector<nanoseconds> times;
+    std::size_t found_count = 0;
+    std::vector<config::route> routes;
+    for (int i = 0; i < 1'000; ++i) {
+        routes.push_back(make_route(i));
+        routes.back().path_prefix += "/7";
+    }
+    for (int round = 0; round < round_count; ++round) {
+        const nanoseconds spent = timed([&] {
+            for (int i = 0; i < batch; ++i) {
+                const config::route& wanted =
+                    routes[static_cast<std::size_t>(round * 7 + i * 13) % routes.size()];
+                found_count += table.match(wanted.host, wanted.path_prefix, "GET") ? 1 : 0;
+            }
+        });
+        times.push_back(spent / batch);
+    }
+    print("match", std::move(times));
+    std::printf("%-28s found=%zu of %d\n", "", found_count, batch * round_count);
+}
+
 } // namespace
 
 int main() {
@@ -87,5 +112,12 @@
         return config::delete_operation{
             {config::resource_kind::service_policy, service_name(i % service_count)}, {}};
     });
+    std::vector<nanoseconds> build_times;
+    build_times.reserve(200);
+    for (int i = 0; i < 200; ++i) {
+        build_times.push_back(timed([&state] { (void)routing::route_table::build(state.snapshot()); }));
+    }
+    print("build the route table", std::move(build_times));
+    measure_match(routing::route_table::build(state.snapshot()));
     return 0;
 }
