Declare the balancing and admission interfaces

Cause: the dispatch and admission duties are written at the same time as these libraries. Change: public headers of packages/balancing and packages/admission; no implementation yet. Conclusion: the duties can be coded against the interfaces.

--- /dev/null
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -0,0 +1,125 @@
+#pragma once
+
+#include "boragehollow/admission/adaptive_limit.hpp"
+#include "boragehollow/admission/duplicate_table.hpp"
+#include "boragehollow/admission/fair_queue.hpp"
+#include "boragehollow/admission/messages.hpp"
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace boragehollow::admission {
+
+struct admission_settings {
+    milliseconds longest_deadline{600'000}; ///< Ids of begun calls are kept for this time.
+    milliseconds key_window{120'000};       ///< Idempotency keys are kept for this time after their end.
+    std::size_t max_call_ids = 262'144;     ///< About 20 MB when full.
+    std::size_t max_keys = 65'536;
+};
+
+/// Figures for metrics and for the load that answers carry to the caller's daemon.
+struct admission_status {
+    std::uint32_t slots = 0;
+    std::uint32_t limit = 0; ///< Slots that the adaptive limit leaves in use.
+    std::uint32_t running_short = 0;
+    std::uint32_t running_long = 0;
+    std::uint32_t queued_short = 0;
+    std::uint32_t queued_long = 0;
+    std::size_t call_ids = 0;
+    std::size_t keys = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t reclassified = 0;
+    std::array<std::uint64_t, 12> refused{}; ///< Indexed by `refusal_reason`.
+};
+
+/// Decides which calls the local target runs and when. Owned by the admission duty; it reads no clock and
+/// starts no thread.
+class admission_controller {
+public:
+    using effects = std::vector<effect>;
+
+    explicit admission_controller(admission_settings settings);
+
+    /// Grants or refuses at once, or queues the call; a later effect then answers it.
+    effects submit(admission_request request, steady_time now);
+
+    /// The work of a granted call has ended after `latency`, counted from the grant.
+    effects finished(ticket id, microseconds latency, call_result result, steady_time now);
+
+    /// The caller left. A queued call is removed; a granted one counts as begun and gives its slot back.
+    effects cancel(ticket id, steady_time now);
+
+    /// An empty target means that none is announced. Whatever is queued is refused unless the target can run
+    /// it; calls that were granted continue.
+    effects update_target(std::optional<local_target> target, steady_time now);
+
+    /// Policy of the local target's service.
+    effects update_policy(const config::admission_policy& policy, steady_time now);
+
+    /// The daemon itself stops: refuses the queue and every later call.
+    effects start_drain(steady_time now);
+
+    effects tick(steady_time now);
+
+    /// When `tick` has to run; empty when nothing waits.
+    std::optional<steady_time> next_wakeup() const;
+
+    admission_status status() const;
+
+    /// True when no granted call is left, so that a stopping daemon may exit.
+    bool idle() const { return m_running.empty(); }
+
+private:
+    struct running_call {
+        std::string call_id;
+        std::optional<std::string> key;
+        bool idempotent = false;
+        bool counts_long = false;
+        bool submitted_long = false;
+        steady_time started;
+    };
+
+    std::optional<refusal_reason> target_refusal(const std::string& service) const;
+    std::optional<refusal_reason> duplicate_refusal(const admission_request& request, steady_time now);
+    std::uint32_t capacity() const;
+    std::uint32_t long_bound() const;
+    bool may_run(config::work_class work) const;
+    std::optional<config::work_class> next_class() const;
+    microseconds expected_wait(const fair_queue& queue, const admission_request& request) const;
+    void begin(admission_request request, steady_time now, effects& out);
+    void refuse(const admission_request& request, refusal_reason reason, milliseconds retry_after,
+                effects& out);
+    void drop_queued(const admission_request& request, refusal_reason reason, effects& out);
+    void enqueue(admission_request request, steady_time now, effects& out);
+    bool make_room(const admission_request& request, effects& out);
+    void refuse_expired(steady_time now, effects& out);
+    void refuse_unrunnable(effects& out);
+    void reclassify(steady_time now);
+    void grant_waiting(steady_time now, effects& out);
+    fair_queue& queue_of(config::work_class work);
+    const fair_queue& queue_of(config::work_class work) const;
+
+    admission_settings m_settings;
+    config::admission_policy m_policy;
+    std::optional<local_target> m_target;
+    bool m_draining = false;
+    adaptive_limit m_limit;
+    fair_queue m_short_queue;
+    fair_queue m_long_queue;
+    duplicate_table m_call_ids;
+    duplicate_table m_keys;
+    std::unordered_map<std::uint64_t, running_call> m_running;
+    std::deque<std::pair<steady_time, std::uint64_t>> m_short_starts; ///< In order of the start.
+    std::uint32_t m_running_short = 0;
+    std::uint32_t m_running_long = 0;
+    double m_short_mean_us = 0;
+    double m_long_mean_us = 0;
+    admission_status m_counters;
+};
+
+} // namespace boragehollow::admission
--- /dev/null
+++ b/packages/admission/include/boragehollow/admission/duplicate_table.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "boragehollow/admission/messages.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <string_view>
+#include <unordered_map>
+
+namespace boragehollow::admission {
+
+/// Bounded set of ids that were begun. It holds 128-bit digests of the ids, so that a long id costs no more
+/// memory than a short one.
+class duplicate_table {
+public:
+    duplicate_table(std::size_t capacity, milliseconds retention);
+
+    /// True when `id` is held, be it waiting, running or retained.
+    bool contains(std::string_view id, steady_time now);
+
+    bool full(steady_time now);
+
+    /// Holds `id` until `retain` or `forget`; the caller checks `full` first.
+    void hold(std::string_view id);
+
+    /// Starts the retention time of a held id.
+    void retain(std::string_view id, steady_time now);
+
+    void forget(std::string_view id);
+
+    std::size_t size() const { return m_entries.size(); }
+
+private:
+    struct digest {
+        std::uint64_t high = 0;
+        std::uint64_t low = 0;
+
+        bool operator==(const digest&) const = default;
+    };
+    struct digest_hash {
+        std::size_t operator()(const digest& value) const { return value.low; }
+    };
+
+    static digest digest_of(std::string_view id);
+    void expire(steady_time now);
+
+    std::size_t m_capacity;
+    milliseconds m_retention;
+    std::unordered_map<digest, steady_time, digest_hash> m_entries; ///< `steady_time::max()` while held.
+    std::deque<std::pair<steady_time, digest>> m_expiries;          ///< In order of time.
+};
+
+} // namespace boragehollow::admission
--- /dev/null
+++ b/packages/balancing/include/boragehollow/balancing/balancer.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "boragehollow/balancing/attempt.hpp"
+#include "boragehollow/balancing/target_view.hpp"
+#include "boragehollow/common/random_source.hpp"
+#include "boragehollow/config/resource.hpp"
+
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace boragehollow::balancing {
+
+struct balancer_settings {
+    std::string failure_domain; ///< Domain of this daemon's callers.
+    milliseconds key_window{120'000};
+    /// Bound of attempts in progress, so that a lost report cannot grow the table without end.
+    std::size_t max_outstanding = 65'536;
+};
+
+/// State of one target, for metrics and tests.
+struct target_status {
+    std::string host;
+    std::uint32_t outstanding = 0;
+    microseconds latency{0};
+    bool ejected = false;
+};
+
+/// Counters of one service, for metrics.
+struct service_counters {
+    std::uint64_t calls = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t retries_refused = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t hedges_refused = 0;
+    std::uint64_t ejections = 0;
+    std::uint64_t panic_choices = 0; ///< Choices made among all targets because too few were healthy.
+};
+
+class service_balancer;
+
+/// Chooses the target of every attempt. Owned by the dispatch duty; it reads no clock and starts no thread.
+class balancer {
+public:
+    balancer(balancer_settings settings, common::random_source random);
+    balancer(balancer&&) noexcept;
+    balancer& operator=(balancer&&) noexcept;
+    ~balancer();
+
+    /// Creates the service or replaces its policy. `rules` are the target rules that name the service. A
+    /// target is used when it matches any of them; without rules every target is used.
+    void update_policy(const config::service_policy& policy, const std::vector<config::target_rule>& rules,
+                       steady_time now);
+
+    /// Forgets the service. Attempts in progress may still be reported.
+    void remove_policy(const std::string& service);
+
+    /// Replaces the list of targets of a service. Targets may be listed before the policy is known.
+    void update_targets(const std::string& service, const std::vector<target_view>& targets, steady_time now);
+
+    tl::expected<attempt_choice, choice_refusal> choose(const attempt_request& request, steady_time now);
+
+    void finished(const attempt_result& result, steady_time now);
+
+    std::vector<std::string> services() const;
+    std::vector<target_status> targets(const std::string& service, steady_time now) const;
+    service_counters counters(const std::string& service) const;
+    std::size_t outstanding() const { return m_attempts.size(); }
+
+private:
+    struct attempt_record {
+        std::string service;
+        std::string host;
+        attempt_kind kind = attempt_kind::first;
+        config::work_class work = config::work_class::short_work;
+        bool trial = false;
+    };
+
+    balancer_settings m_settings;
+    common::random_source m_random;
+    std::unordered_map<std::string, std::unique_ptr<service_balancer>> m_services;
+    std::unordered_map<std::string, std::vector<target_view>> m_targets_without_policy;
+    std::unordered_map<std::uint64_t, attempt_record> m_attempts;
+    std::uint64_t m_next_attempt = 1;
+};
+
+} // namespace boragehollow::balancing
