--- a/packages/admission/include/boragehollow/admission/admission_controller.hpp
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -80,13 +80,13 @@
         std::optional<std::string> key;
         bool idempotent = false;
         bool counts_long = false;
-        bool submitted_long = false;
         steady_time started;
     };
 
     std::optional<refusal_reason> target_refusal(const std::string& service) const;
     std::optional<refusal_reason> duplicate_refusal(const admission_request& request, steady_time now);
     std::uint32_t capacity() const;
+    std::uint32_t reserved() const;
     std::uint32_t long_bound() const;
     bool may_run(config::work_class work) const;
     std::optional<config::work_class> next_class() const;
@@ -94,7 +94,13 @@
     void begin(admission_request request, steady_time now, effects& out);
     void refuse(const admission_request& request, refusal_reason reason, milliseconds retry_after,
                 effects& out);
-    void drop_queued(const admission_request& request, refusal_reason reason, effects& out);
+    void drop_queued(const admission_request& request, refusal_reason reason, milliseconds retry_after,
+                     effects& out);
+    void forget_ids(const admission_request& request);
+    void end_ids(const running_call& call, call_result result, steady_time now);
+    void learn(const running_call& call, microseconds latency, call_result result, std::uint32_t in_use,
+               steady_time now);
+    void set_limit_bounds();
     void enqueue(admission_request request, steady_time now, effects& out);
     bool make_room(const admission_request& request, effects& out);
     void refuse_expired(steady_time now, effects& out);
@@ -102,7 +108,6 @@
     void reclassify(steady_time now);
     void grant_waiting(steady_time now, effects& out);
     fair_queue& queue_of(config::work_class work);
-    const fair_queue& queue_of(config::work_class work) const;
 
     admission_settings m_settings;
     config::admission_policy m_policy;
