Add the settings library

Cause: a daemon takes its addresses, limits and timings from a file, and an operator has to see all faults of the file at once.

--- /dev/null
+++ b/packages/settings/src/duration_text.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+namespace boragehollow::settings {
+
+/// Reads a whole number with a unit: `250ms`, `2s`, `10min`, `24h`. The error says what is expected.
+tl::expected<std::chrono::milliseconds, std::string> parse_duration(std::string_view text);
+
+/// Writes a duration with the largest unit that divides it.
+std::string format_duration(std::chrono::milliseconds value);
+
+} // namespace boragehollow::settings
