--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "boragehollow/admission/admission_controller.hpp"
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/reply_slot.hpp"
+#include "boragehollow/daemon/notices.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+
+namespace boragehollow::daemon {
+
+/// A slot was granted; the ticket is given back with `work_ended`.
+struct admission_grant {
+    admission::ticket id;
+    admission::admission_status status;
+};
+
+struct admission_refusal {
+    admission::refusal_reason reason = admission::refusal_reason::no_target;
+    std::chrono::milliseconds retry_after{0};
+    admission::admission_status status;
+};
+
+using admission_answer = std::variant<admission_grant, admission_refusal>;
+
+/// Asks for a slot. The duty fills in the ticket.
+struct submit_call {
+    admission::admission_request request;
+    common::reply_slot<admission_answer> reply;
+};
+
+struct work_ended {
+    admission::ticket id;
+    std::chrono::microseconds latency{0};
+    admission::call_result result = admission::call_result::answered;
+};
+
+/// The local target changed; empty when none is announced.
+struct local_target_changed {
+    std::optional<admission::local_target> target;
+};
+
+struct start_admission_drain {};
+
+struct query_admission {
+    common::reply_slot<admission::admission_status> reply;
+};
+
+using admission_message = std::variant<submit_call, work_ended, local_target_changed, config_changed,
+                                       start_admission_drain, query_admission>;
+
+/// Thread that owns the admission controller of the target on this host.
+class admission_duty {
+public:
+    admission_duty(admission::admission_settings settings, std::size_t ring_size);
+    ~admission_duty();
+
+    common::bounded_ring<admission_message>& ring() { return m_ring; }
+
+    /// Asks and waits; empty when the ring is full or the deadline passed, which means that nothing was run.
+    std::optional<admission_answer> submit(admission::admission_request request, common::steady_time deadline);
+
+private:
+    void run();
+    void handle(submit_call& message, common::steady_time now);
+    void handle(const work_ended& message, common::steady_time now);
+    void handle(const local_target_changed& message, common::steady_time now);
+    void handle(const config_changed& message, common::steady_time now);
+    void handle(const start_admission_drain& message, common::steady_time now);
+    void handle(const query_admission& message, common::steady_time now);
+    void update_policy(common::steady_time now);
+    void deliver(const admission::admission_controller::effects& effects, common::steady_time now);
+
+    admission::admission_controller m_controller;
+    std::unordered_map<std::uint64_t, common::reply_slot<admission_answer>> m_waiting;
+    std::uint64_t m_last_ticket = 0;
+    std::string m_service;
+    std::shared_ptr<const config::config_snapshot> m_snapshot;
+    common::bounded_ring<admission_message> m_ring;
+    common::duty m_thread;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/caller_front.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "boragehollow/common/published.hpp"
+#include "boragehollow/common/random_source.hpp"
+#include "boragehollow/daemon/call_runner.hpp"
+#include "boragehollow/routing/route_table.hpp"
+#include "boragehollow/web/http_server.hpp"
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+
+namespace boragehollow::daemon {
+
+/// Whether calls are accepted, as the duties that decide it have published.
+struct serving_state {
+    std::atomic<bool> ready{false};
+    std::atomic<bool> stopping{false};
+};
+
+struct caller_front_settings {
+    std::chrono::milliseconds longest_deadline{600'000};
+};
+
+/// Source of calls: reads a caller's request, matches its route and hands it to the call runner.
+class caller_front {
+public:
+    caller_front(caller_front_settings settings, const serving_state& state,
+                 const common::published<routing::route_table>& routes, call_runner& runner,
+                 telemetry::metric_registry& metrics);
+
+    void serve(web::server_exchange& exchange);
+
+private:
+    std::optional<peer::call_failure> refusal(const web::server_exchange& exchange) const;
+    incoming_call make_call(const web::server_exchange& exchange, const routing::matched_route& matched);
+
+    caller_front_settings m_settings;
+    const serving_state& m_state;
+    const common::published<routing::route_table>& m_routes;
+    call_runner& m_runner;
+    telemetry::counter& m_refused;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/target_runner.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/published.hpp"
+#include "boragehollow/daemon/admission_duty.hpp"
+#include "boragehollow/peer/call_messages.hpp"
+#include "boragehollow/telemetry/event_log.hpp"
+#include "boragehollow/telemetry/metrics.hpp"
+#include "boragehollow/web/http_client.hpp"
+
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace boragehollow::daemon {
+
+/// Where the local target listens; null while none is announced.
+struct target_address {
+    common::endpoint endpoint;
+};
+
+/// Further parts of the request; empty when the sender is gone.
+using request_source = std::function<std::optional<peer::call_request_part>()>;
+/// Takes parts of the response; false when the receiver is gone.
+using reply_sink = std::function<bool(const peer::call_reply_part&)>;
+
+struct target_runner_settings {
+    /// An idle connection is used again only within this time, since the target may close it at any later
+    /// moment, and a request lost on it would have an unknown outcome.
+    std::chrono::milliseconds idle_reuse{400};
+    std::size_t max_idle_connections = 130;
+};
+
+/// Runs admitted calls on the target of this host. Used by many threads at once, each for one call.
+class target_runner {
+public:
+    target_runner(target_runner_settings settings, admission_duty& admission, telemetry::metric_registry& metrics);
+
+    /// Admits the call, runs it and passes the response on. `first` holds the first bytes of the body.
+    void run(const peer::call_head& head, peer::call_request_part first, const request_source& source,
+             const reply_sink& sink);
+
+    void set_target(std::optional<common::endpoint> target);
+
+private:
+    struct running_work;
+
+    std::optional<peer::call_failure> deadline_failure(const peer::call_head& head, common::steady_time deadline) const;
+    std::optional<web::client_connection> acquire(peer::call_failure& failure);
+    admission::call_result transfer(running_work& work, const request_source& source, const reply_sink& sink);
+    bool send_body(running_work& work, const request_source& source);
+    admission::call_result pass_response(running_work& work, const reply_sink& sink);
+
+    target_runner_settings m_settings;
+    admission_duty& m_admission;
+    common::published<target_address> m_target;
+    common::bounded_ring<web::client_connection> m_idle;
+    telemetry::counter& m_granted;
+    telemetry::counter& m_refused;
+    telemetry::counter& m_broken;
+    telemetry::latency_distribution& m_wait;
+    telemetry::latency_distribution& m_service_time;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/src/admission_duty.cpp
@@ -0,0 +1,112 @@
+#include "boragehollow/daemon/admission_duty.hpp"
+
+#include "boragehollow/common/overloaded.hpp"
+
+#include <utility>
+
+namespace boragehollow::daemon {
+
+admission_duty::admission_duty(admission::admission_settings settings, std::size_t ring_size)
+    : m_controller(settings), m_ring(ring_size), m_thread("admission", [this](const std::stop_token&) { run(); }) {}
+
+admission_duty::~admission_duty() { m_ring.close(); }
+
+std::optional<admission_answer> admission_duty::submit(admission::admission_request request,
+                                                       common::steady_time deadline) {
+    submit_call message{std::move(request), {}};
+    const auto reply = message.reply;
+    if (!m_ring.try_push(admission_message(std::move(message)))) {
+        return std::nullopt;
+    }
+    return reply.wait_until(deadline);
+}
+
+void admission_duty::run() {
+    while (true) {
+        const auto wakeup = m_controller.next_wakeup();
+        auto message = wakeup ? m_ring.pop_until(*wakeup) : m_ring.pop();
+        const common::steady_time now = common::steady_clock::now();
+        if (message) {
+            std::visit([&](auto& concrete) { handle(concrete, now); }, *message);
+        } else if (m_ring.closed()) {
+            return;
+        }
+        if (wakeup && now >= *wakeup) {
+            deliver(m_controller.tick(now), now);
+        }
+    }
+}
+
+void admission_duty::handle(submit_call& message, common::steady_time now) {
+    message.request.id = {++m_last_ticket};
+    m_waiting.emplace(m_last_ticket, message.reply);
+    deliver(m_controller.submit(std::move(message.request), now), now);
+}
+
+void admission_duty::handle(const work_ended& message, common::steady_time now) {
+    deliver(m_controller.finished(message.id, message.latency, message.result, now), now);
+}
+
+void admission_duty::handle(const local_target_changed& message, common::steady_time now) {
+    m_service = message.target ? message.target->service : std::string();
+    update_policy(now);
+    deliver(m_controller.update_target(message.target, now), now);
+}
+
+void admission_duty::handle(const config_changed& message, common::steady_time now) {
+    m_snapshot = message.snapshot;
+    update_policy(now);
+}
+
+void admission_duty::update_policy(common::steady_time now) {
+    if (!m_snapshot || m_service.empty()) {
+        return;
+    }
+    const auto* stored = m_snapshot->find({config::resource_kind::service_policy, m_service});
+    if (stored == nullptr) {
+        return;
+    }
+    deliver(m_controller.update_policy(std::get<config::service_policy>(stored->value).admission, now), now);
+}
+
+void admission_duty::handle(const start_admission_drain&, common::steady_time now) {
+    deliver(m_controller.start_drain(now), now);
+}
+
+void admission_duty::handle(const query_admission& message, common::steady_time) {
+    message.reply.set(m_controller.status());
+}
+
+void admission_duty::deliver(const admission::admission_controller::effects& effects, common::steady_time now) {
+    admission::admission_controller::effects followers;
+    for (const admission::effect& effect : effects) {
+        const std::uint64_t ticket = std::visit([](const auto& concrete) { return concrete.id.value; }, effect);
+        const auto waiting = m_waiting.find(ticket);
+        if (waiting == m_waiting.end()) {
+            continue;
+        }
+        const common::reply_slot<admission_answer> reply = waiting->second;
+        m_waiting.erase(waiting);
+        const auto status = m_controller.status();
+        const bool delivered = std::visit(
+            common::overloaded{
+                [&](const admission::granted& granted) { return reply.set(admission_grant{granted.id, status}); },
+                [&](const admission::refused& refused) {
+                    reply.set(admission_refusal{refused.reason, refused.retry_after, status});
+                    return true;
+                }},
+            effect);
+        if (delivered) {
+            continue;
+        }
+        // The asking thread gave up before the grant, so nothing was sent to the target.
+        auto freed = m_controller.finished({ticket}, std::chrono::microseconds(0), admission::call_result::not_started,
+                                           now);
+        followers.insert(followers.end(), freed.begin(), freed.end());
+    }
+    if (!followers.empty()) {
+        deliver(followers, now);
+    }
+}
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/src/caller_front.cpp
@@ -0,0 +1,176 @@
+#include "boragehollow/daemon/caller_front.hpp"
+
+#include "boragehollow/common/overloaded.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace boragehollow::daemon {
+
+namespace {
+
+using peer::call_failure;
+using peer::call_outcome;
+
+/// The part of a body that is kept for another attempt, and the unit in which the rest is passed on.
+constexpr std::size_t body_chunk = 65'536;
+
+constexpr std::string_view deadline_header = "boragehollow-deadline-ms";
+constexpr std::string_view caller_header = "boragehollow-caller";
+constexpr std::string_view key_header = "Idempotency-Key";
+constexpr std::size_t longest_key = 256;
+
+call_failure refuse(std::string reason, std::string detail) {
+    return {call_outcome::not_run, std::move(reason), std::move(detail), {}};
+}
+
+/// Dot segments could move a path out of the prefix that its route matched.
+bool has_dot_segments(std::string_view path) {
+    return path.find("/../") != std::string_view::npos || path.find("/./") != std::string_view::npos ||
+           path.ends_with("/..") || path.ends_with("/.");
+}
+
+bool is_safe_method(std::string_view method) { return method == "GET" || method == "HEAD" || method == "OPTIONS"; }
+
+std::optional<std::chrono::milliseconds> remaining_of(const web::server_exchange& exchange) {
+    const auto text = exchange.header_value(deadline_header);
+    if (!text) {
+        return std::nullopt;
+    }
+    std::int64_t count = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), count);
+    if (error != std::errc() || end != text->data() + text->size() || count < 0) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(count);
+}
+
+call_failure match_failure(const routing::match_error& error) {
+    return std::visit(common::overloaded{
+                          [](const routing::no_route&) { return refuse("no_route", "no route matches host and path"); },
+                          [](const routing::method_not_allowed&) {
+                              return refuse("method_not_allowed", "no route matches the method");
+                          }},
+                      error);
+}
+
+std::string new_call_id() {
+    thread_local common::random_source random = common::random_source::from_system();
+    return random.identifier();
+}
+
+/// Fills a chunk with the next bytes of the body. Empty when the caller ended the body early.
+std::optional<peer::call_request_part> read_part(web::server_exchange& exchange) {
+    peer::call_request_part part;
+    part.data.resize(body_chunk);
+    std::size_t filled = 0;
+    while (filled < body_chunk) {
+        const auto count = exchange.read(std::span(part.data).subspan(filled));
+        if (!count) {
+            return std::nullopt;
+        }
+        if (*count == 0) {
+            part.end = true;
+            break;
+        }
+        filled += *count;
+    }
+    part.data.resize(filled);
+    return part;
+}
+
+} // namespace
+
+caller_front::caller_front(caller_front_settings settings, const serving_state& state,
+                           const common::published<routing::route_table>& routes, call_runner& runner,
+                           telemetry::metric_registry& metrics)
+    : m_settings(settings), m_state(state), m_routes(routes), m_runner(runner),
+      m_refused(metrics.add_counter("boragehollow_calls_refused_total", "Calls refused before a target was chosen")) {}
+
+std::optional<call_failure> caller_front::refusal(const web::server_exchange& exchange) const {
+    if (m_state.stopping) {
+        return refuse("draining", "the daemon is stopping");
+    }
+    if (!m_state.ready) {
+        return refuse("not_ready", "the daemon has no current configuration yet");
+    }
+    if (exchange.has_ambiguous_length()) {
+        return refuse("bad_request", "the length of the body is ambiguous");
+    }
+    if (has_dot_segments(exchange.path())) {
+        return refuse("bad_request", "the path has dot segments");
+    }
+    if (exchange.header_value(key_header).value_or("").size() > longest_key) {
+        return refuse("bad_request", "the idempotency key is longer than 256 bytes");
+    }
+    return std::nullopt;
+}
+
+void caller_front::serve(web::server_exchange& exchange) {
+    const auto routes = m_routes.load();
+    const common::revision version =
+        routes && routes->snapshot() ? routes->snapshot()->version : common::revision{};
+    caller_response response(exchange, version);
+    if (const auto failure = refusal(exchange)) {
+        m_refused.add();
+        if (m_state.stopping) {
+            exchange.abort();
+        }
+        response.fail(*failure);
+        return;
+    }
+    const std::string_view host = exchange.header_value("Host").value_or("");
+    const auto matched = routes->match(host, exchange.path(), exchange.method());
+    if (!matched) {
+        m_refused.add();
+        response.fail(match_failure(matched.error()));
+        return;
+    }
+    incoming_call call = make_call(exchange, *matched);
+    if (exchange.has_body()) {
+        auto first = read_part(exchange);
+        if (!first) {
+            m_refused.add();
+            response.fail(refuse("bad_request", "the body ended early"));
+            return;
+        }
+        call.first_data = std::move(first->data);
+        call.body_complete = first->end || exchange.content_length() == call.first_data.size();
+    }
+    m_runner.run(call, [&] { return read_part(exchange); }, response);
+}
+
+incoming_call caller_front::make_call(const web::server_exchange& exchange, const routing::matched_route& matched) {
+    incoming_call call;
+    const config::route& route = *matched.route;
+    std::chrono::milliseconds allowed = std::min(route.deadline, m_settings.longest_deadline);
+    if (const auto remaining = remaining_of(exchange)) {
+        allowed = std::min(allowed, *remaining);
+    }
+    call.deadline = common::steady_clock::now() + allowed;
+    peer::call_head& head = call.head;
+    head.call_id = new_call_id();
+    head.service = route.service;
+    head.method = exchange.method();
+    head.target = exchange.target();
+    for (web::header& entry : web::end_to_end_headers(exchange.headers())) {
+        if (web::equal_names(entry.name, deadline_header) || web::equal_names(entry.name, "boragehollow-call-id")) {
+            continue;
+        }
+        head.headers.emplace_back(std::move(entry.name), std::move(entry.value));
+    }
+    head.work = route.work;
+    head.idempotent = route.idempotent || is_safe_method(exchange.method());
+    if (const auto key = exchange.header_value(key_header); key && !key->empty()) {
+        head.idempotency_key = std::string(*key);
+    }
+    head.caller = exchange.header_value(caller_header).value_or(exchange.remote_address());
+    head.deadline = common::wall_now() + allowed;
+    head.has_body = exchange.has_body();
+    head.content_length = exchange.content_length();
+    head.config_version = matched.snapshot->version;
+    return call;
+}
+
+} // namespace boragehollow::daemon
--- a/packages/peer/include/boragehollow/peer/call_exchange.hpp
+++ b/packages/peer/include/boragehollow/peer/call_exchange.hpp
@@ -55,10 +55,10 @@
 
     /// Starts an attempt with its head and the first bytes of its body. `channel` must be connected.
     attempt_index start(const std::shared_ptr<grpc::Channel>& channel, const peer_identity& identity,
-                        call_request_part first, common::wall_time deadline);
+                        const call_request_part& first, common::wall_time deadline);
 
     /// Writes the next part; at most one write may be under way for each attempt.
-    void write(attempt_index attempt, call_request_part part);
+    void write(attempt_index attempt, const call_request_part& part);
 
     /// Asks for the next message of the attempt; at most one read may be under way.
     void read_next(attempt_index attempt);
--- a/packages/peer/src/call_exchange.cpp
+++ b/packages/peer/src/call_exchange.cpp
@@ -16,7 +16,7 @@
 /// Tags carry the attempt and the step, so that no object has to outlive its operation for them.
 void* make_tag(attempt_index attempt, step what) {
     return reinterpret_cast<void*>((attempt << 2U) |
-                                   static_cast<std::uintptr_t>(what)); // NOLINT(performance-no-int-to-ptr)
+                                   static_cast<std::uintptr_t>(what));
 }
 
 attempt_index attempt_of(void* tag) {
@@ -137,7 +137,7 @@
     return index;
 }
 
-void call_exchange::write(attempt_index index, call_request_part part) {
+void call_exchange::write(attempt_index index, const call_request_part& part) {
     attempt_stream& attempt = *m_state->attempts[index];
     attempt.request.Clear();
     encode(part, attempt.request);
--- a/packages/peer/tests/call_test.cpp
+++ b/packages/peer/tests/call_test.cpp
@@ -107,7 +107,7 @@
 
 // A stream that breaks after the request was sent leaves the outcome unknown.
 TEST(call_exchange, stream_without_final_message_is_lost_with_unknown_outcome) {
-    fixture mesh([](call_head, call_request_part, call_stream&) {});
+    fixture mesh([](const call_head&, const call_request_part&, call_stream&) {});
     const auto channel = mesh.channels.connected_channel(mesh.server->local(), 2s);
     ASSERT_TRUE(channel);
     call_exchange exchange;
@@ -139,7 +139,7 @@
 }
 
 TEST(call_exchange, two_attempts_are_waited_for_in_one_place) {
-    fixture mesh([](call_head head, call_request_part, call_stream& stream) {
+    fixture mesh([](const call_head& head, const call_request_part&, call_stream& stream) {
         call_reply_part reply;
         reply.head = reply_head{200, {}, 0U};
         reply.end = true;
--- a/packages/web/include/boragehollow/web/http_client.hpp
+++ b/packages/web/include/boragehollow/web/http_client.hpp
@@ -52,6 +52,7 @@
     /// True when the response was read to its end and the server keeps the connection open.
     bool reusable() const;
     common::steady_time last_used() const { return m_last_used; }
+    const common::endpoint& server() const { return m_server; }
 
 private:
     struct close_connection {
