Add the codecs of changes, states and resources

Cause: the configuration values had no form on the wire, in the platform's streams, or for operators. Change: library boragehollow_codec with change_codec and state_codec (protobuf), resource_json, change_json, json_reader and duration_text (JSON). Decode errors are typed; JSON faults come all at once with the path of their field. A record of another schema than the active one is decoded to its header only, so that builds which know different schemas reach the same verdict.

--- /dev/null
+++ b/packages/codec/include/boragehollow/codec/decode_error.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <variant>
+
+namespace boragehollow::codec {
+
+/// The bytes are not the message, or the message lacks a part.
+struct malformed {
+    std::string detail;
+
+    bool operator==(const malformed&) const = default;
+};
+
+struct too_large {
+    std::size_t size = 0;
+    std::size_t limit = 0;
+
+    bool operator==(const too_large&) const = default;
+};
+
+using decode_error = std::variant<malformed, too_large>;
+
+std::string to_string(const decode_error& error);
+
+} // namespace boragehollow::codec
--- /dev/null
+++ b/packages/codec/src/resource_json.cpp
@@ -0,0 +1,240 @@
+#include "boragehollow/codec/resource_json.hpp"
+
+#include "boragehollow/codec/duration_text.hpp"
+#include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/config/names.hpp"
+
+#include <utility>
+
+namespace boragehollow::codec {
+
+namespace {
+
+using config::to_string;
+
+json balancing_to_json(const config::balancing_policy& value) {
+    return std::visit(common::overloaded{
+                          [](const config::peak_ewma& ewma) {
+                              return json{{"kind", "peak_ewma"}, {"decay", format_duration(ewma.decay)}};
+                          },
+                          [](const config::least_loaded&) {
+                              return json{{"kind", "least_loaded"}};
+                          },
+                          [](const config::round_robin&) {
+                              return json{{"kind", "round_robin"}};
+                          },
+                          [](const config::random_choice&) {
+                              return json{{"kind", "random_choice"}};
+                          },
+                      },
+                      value);
+}
+
+json route_to_json(const config::route& value) {
+    return {{"kind", "route"},
+            {"name", value.name},
+            {"host", value.host},
+            {"path_prefix", value.path_prefix},
+            {"methods", value.methods},
+            {"service", value.service},
+            {"deadline", format_duration(value.deadline)},
+            {"idempotent", value.idempotent},
+            {"work", to_string(value.work)}};
+}
+
+json policy_to_json(const config::service_policy& value) {
+    const json retry{{"max_attempts", value.retry.max_attempts},
+                     {"budget_ratio", value.retry.budget_ratio},
+                     {"min_per_second", value.retry.min_per_second},
+                     {"base_backoff", format_duration(value.retry.base_backoff)},
+                     {"max_backoff", format_duration(value.retry.max_backoff)}};
+    const json hedging{{"enabled", value.hedging.enabled},
+                       {"min_delay", format_duration(value.hedging.min_delay)},
+                       {"budget_ratio", value.hedging.budget_ratio}};
+    const json admission{{"queue_length", value.admission.queue_length},
+                         {"queue_max_wait", format_duration(value.admission.queue_max_wait)},
+                         {"reserved_short_slots", value.admission.reserved_short_slots},
+                         {"long_threshold", format_duration(value.admission.long_threshold)},
+                         {"adaptive_limit", value.admission.adaptive_limit},
+                         {"fair_queueing", value.admission.fair_queueing}};
+    const json ejection{{"consecutive_failures", value.ejection.consecutive_failures},
+                        {"latency_factor", value.ejection.latency_factor},
+                        {"base_time", format_duration(value.ejection.base_time)},
+                        {"max_time", format_duration(value.ejection.max_time)},
+                        {"max_fraction", value.ejection.max_fraction},
+                        {"panic_healthy_fraction", value.ejection.panic_healthy_fraction}};
+    return {
+        {"kind", "service_policy"}, {"name", value.name}, {"balancing", balancing_to_json(value.balancing)},
+        {"retry", retry},           {"hedging", hedging}, {"admission", admission},
+        {"ejection", ejection}};
+}
+
+json rule_to_json(const config::target_rule& value) {
+    return {{"kind", "target_rule"},
+            {"name", value.name},
+            {"service", value.service},
+            {"labels", value.labels},
+            {"preference", to_string(value.preference)},
+            {"spill_over", value.spill_over}};
+}
+
+void read_fields(object_reader& reader, config::route& target) {
+    reader.required("name", target.name);
+    reader.optional("host", target.host);
+    reader.optional("path_prefix", target.path_prefix);
+    reader.optional("methods", target.methods);
+    reader.required("service", target.service);
+    reader.optional("deadline", target.deadline);
+    reader.optional("idempotent", target.idempotent);
+    reader.optional_name("work", target.work, config::parse_work_class);
+}
+
+void read_fields(object_reader& reader, config::target_rule& target) {
+    reader.required("name", target.name);
+    reader.required("service", target.service);
+    reader.optional("labels", target.labels);
+    reader.optional_name("preference", target.preference, config::parse_domain_preference);
+    reader.optional("spill_over", target.spill_over);
+}
+
+void read_fields(object_reader& reader, config::service_policy& target) {
+    reader.required("name", target.name);
+    reader.optional("balancing", target.balancing);
+    reader.optional("retry", target.retry);
+    reader.optional("hedging", target.hedging);
+    reader.optional("admission", target.admission);
+    reader.optional("ejection", target.ejection);
+}
+
+config::resource default_resource(config::resource_kind kind) {
+    switch (kind) {
+    case config::resource_kind::route:
+        return config::route{};
+    case config::resource_kind::service_policy:
+        return config::service_policy{};
+    case config::resource_kind::target_rule:
+        return config::target_rule{};
+    }
+    return config::route{};
+}
+
+} // namespace
+
+json to_json(const config::resource& value) {
+    return std::visit(common::overloaded{
+                          [](const config::route& item) { return route_to_json(item); },
+                          [](const config::service_policy& item) { return policy_to_json(item); },
+                          [](const config::target_rule& item) { return rule_to_json(item); },
+                      },
+                      value);
+}
+
+json to_json(const config::resource_key& value) {
+    return {{"kind", to_string(value.kind)}, {"name", value.name}};
+}
+
+json to_json(const config::stored_resource& value) {
+    return {{"resource", to_json(value.value)}, {"revision", value.changed_at.value}};
+}
+
+void read_value(const json& value, const std::string& path, config::revision& target, json_faults& faults) {
+    read_value(value, path, target.value, faults);
+}
+
+void read_value(const json& value, const std::string& path, config::balancing_policy& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    std::string kind;
+    reader.required("kind", kind);
+    if (kind == "peak_ewma") {
+        config::peak_ewma ewma;
+        reader.optional("decay", ewma.decay);
+        target = ewma;
+    } else if (kind == "least_loaded") {
+        target = config::least_loaded{};
+    } else if (kind == "round_robin") {
+        target = config::round_robin{};
+    } else if (kind == "random_choice") {
+        target = config::random_choice{};
+    } else if (!kind.empty()) {
+        reader.fail(json_fault_kind::bad_value, "kind",
+                    "must be peak_ewma, least_loaded, round_robin or random_choice");
+    }
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::retry_policy& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    reader.optional("max_attempts", target.max_attempts);
+    reader.optional("budget_ratio", target.budget_ratio);
+    reader.optional("min_per_second", target.min_per_second);
+    reader.optional("base_backoff", target.base_backoff);
+    reader.optional("max_backoff", target.max_backoff);
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::hedging_policy& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    reader.optional("enabled", target.enabled);
+    reader.optional("min_delay", target.min_delay);
+    reader.optional("budget_ratio", target.budget_ratio);
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::admission_policy& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    reader.optional("queue_length", target.queue_length);
+    reader.optional("queue_max_wait", target.queue_max_wait);
+    reader.optional("reserved_short_slots", target.reserved_short_slots);
+    reader.optional("long_threshold", target.long_threshold);
+    reader.optional("adaptive_limit", target.adaptive_limit);
+    reader.optional("fair_queueing", target.fair_queueing);
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::ejection_policy& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    reader.optional("consecutive_failures", target.consecutive_failures);
+    reader.optional("latency_factor", target.latency_factor);
+    reader.optional("base_time", target.base_time);
+    reader.optional("max_time", target.max_time);
+    reader.optional("max_fraction", target.max_fraction);
+    reader.optional("panic_healthy_fraction", target.panic_healthy_fraction);
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::resource& target, json_faults& faults) {
+    object_reader reader(value, path, faults);
+    const std::size_t faults_before = faults.size();
+    config::resource_kind kind{};
+    reader.required_name("kind", kind, config::parse_resource_kind);
+    // Without the kind nothing says which fields belong here.
+    if (faults.size() != faults_before) {
+        return;
+    }
+    target = default_resource(kind);
+    std::visit([&reader](auto& concrete) { read_fields(reader, concrete); }, target);
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::resource_key& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    reader.required_name("kind", target.kind, config::parse_resource_kind);
+    reader.required("name", target.name);
+    reader.finish();
+}
+
+void read_value(const json& value, const std::string& path, config::stored_resource& target,
+                json_faults& faults) {
+    object_reader reader(value, path, faults);
+    reader.required("resource", target.value);
+    reader.required("revision", target.changed_at);
+    reader.finish();
+}
+
+} // namespace boragehollow::codec
--- /dev/null
+++ b/packages/codec/src/state_codec.cpp
@@ -0,0 +1,190 @@
+#include "boragehollow/codec/state_codec.hpp"
+
+#include "boragehollow/codec/resource_message.hpp"
+#include "boragehollow/common/rendezvous.hpp"
+#include "boragehollow/config/names.hpp"
+
+#include <algorithm>
+
+namespace boragehollow::codec {
+
+namespace {
+
+/// Room for the other fields of a chunk record.
+constexpr std::size_t chunk_overhead = 64;
+
+/// Partial states that are kept; older ones were left behind by a compactor that failed.
+constexpr std::size_t max_partial_states = 4;
+
+tl::unexpected<decode_error> fault(std::string detail) {
+    return tl::unexpected<decode_error>(malformed{std::move(detail)});
+}
+
+messages::ChangeOutcome to_message(const config::change_outcome& value) {
+    messages::ChangeOutcome message;
+    message.set_change_id(value.change_id);
+    message.set_revision(value.at.value);
+    message.set_author(value.author);
+    const auto* reason = std::get_if<config::rejected>(&value.result);
+    message.set_accepted(reason == nullptr);
+    if (reason == nullptr) {
+        return message;
+    }
+    message.set_reason(std::string(config::to_string(reason->reason)));
+    message.set_detail(reason->detail);
+    message.set_field(reason->field);
+    if (reason->resource) {
+        *message.mutable_resource() = codec::to_message(*reason->resource);
+    }
+    return message;
+}
+
+tl::expected<config::change_outcome, malformed> from_outcome(const messages::ChangeOutcome& message) {
+    config::change_outcome value{
+        message.change_id(), {message.revision()}, message.author(), config::accepted{}};
+    if (message.accepted()) {
+        return value;
+    }
+    const auto reason = config::parse_rejection_reason(message.reason());
+    if (!reason) {
+        return tl::unexpected(malformed{"an outcome has an unknown reason"});
+    }
+    config::rejected result{*reason, message.detail(), message.field(), {}};
+    if (message.has_resource()) {
+        auto key = from_message(message.resource());
+        if (!key) {
+            return tl::unexpected(std::move(key).error());
+        }
+        result.resource = *std::move(key);
+    }
+    value.result = std::move(result);
+    return value;
+}
+
+} // namespace
+
+std::string encode_state(const config::config_snapshot& value) {
+    messages::State message;
+    message.set_version(value.version.value);
+    message.set_digest(value.digest);
+    message.set_active_schema(value.active_schema);
+    for (const auto& [key, stored] : value.resources) {
+        messages::StoredResource* item = message.add_resources();
+        *item->mutable_resource() = to_message(stored.value);
+        item->set_revision(stored.changed_at.value);
+    }
+    for (const auto& [at, outcome] : value.outcomes()) {
+        *message.add_outcomes() = to_message(outcome);
+    }
+    return serialize(message);
+}
+
+tl::expected<snapshot_pointer, decode_error> decode_state(std::string_view bytes) {
+    const std::size_t limit = max_chunk_record * max_chunk_count;
+    if (bytes.size() > limit) {
+        return tl::unexpected<decode_error>(too_large{bytes.size(), limit});
+    }
+    messages::State message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return fault("the bytes are not a state");
+    }
+    auto value = std::make_shared<config::config_snapshot>();
+    value->version = {message.version()};
+    value->digest = message.digest();
+    value->active_schema = message.active_schema();
+    for (const messages::StoredResource& item : message.resources()) {
+        auto converted = from_message(item.resource());
+        if (!converted) {
+            return fault(std::move(converted).error().detail);
+        }
+        config::resource_key key = config::key_of(*converted);
+        if (item.revision() == 0 || item.revision() > message.version() || value->find(key) != nullptr) {
+            return fault("a resource stands in the state twice or has an impossible revision");
+        }
+        value->resources =
+            value->resources.insert(std::move(key), {*std::move(converted), {item.revision()}});
+    }
+    std::uint64_t previous = 0;
+    for (const messages::ChangeOutcome& item : message.outcomes()) {
+        auto converted = from_outcome(item);
+        if (!converted) {
+            return fault(std::move(converted).error().detail);
+        }
+        if (item.revision() <= previous || item.revision() > message.version()) {
+            return fault("the outcomes are not in the order of their revisions");
+        }
+        previous = item.revision();
+        value->remember(*std::move(converted));
+    }
+    return value;
+}
+
+std::vector<std::string> split_state(const config::config_snapshot& value) {
+    const std::string bytes = encode_state(value);
+    const std::size_t part = max_chunk_record - chunk_overhead;
+    const std::size_t count = std::max<std::size_t>(1, (bytes.size() + part - 1) / part);
+    std::vector<std::string> records;
+    records.reserve(count);
+    for (std::size_t index = 0; index < count; ++index) {
+        messages::SnapshotChunk chunk;
+        chunk.set_version(value.version.value);
+        chunk.set_digest(common::stable_hash(bytes));
+        chunk.set_index(static_cast<std::uint32_t>(index));
+        chunk.set_count(static_cast<std::uint32_t>(count));
+        chunk.set_data(bytes.substr(index * part, part));
+        records.push_back(serialize(chunk));
+    }
+    return records;
+}
+
+tl::expected<snapshot_pointer, decode_error> snapshot_assembler::add(std::string_view record) {
+    if (record.size() > max_chunk_record) {
+        return tl::unexpected<decode_error>(too_large{record.size(), max_chunk_record});
+    }
+    messages::SnapshotChunk chunk;
+    if (!chunk.ParseFromArray(record.data(), static_cast<int>(record.size()))) {
+        return fault("the bytes are not a snapshot chunk");
+    }
+    if (chunk.count() > max_chunk_count || chunk.index() >= chunk.count()) {
+        return fault("a snapshot chunk has an impossible index or count");
+    }
+    if (chunk.version() <= m_completed_version) {
+        return nullptr;
+    }
+    const partial_key key{chunk.version(), chunk.digest(), chunk.count()};
+    partial_state& state = m_partial[key];
+    state.chunks.try_emplace(chunk.index(), std::move(*chunk.mutable_data()));
+    if (state.chunks.size() == chunk.count()) {
+        const auto finished = m_partial.extract(key);
+        return complete(key, finished.mapped());
+    }
+    if (m_partial.size() > max_partial_states) {
+        m_partial.erase(m_partial.begin());
+    }
+    return nullptr;
+}
+
+tl::expected<snapshot_pointer, decode_error> snapshot_assembler::complete(const partial_key& key,
+                                                                          const partial_state& state) {
+    std::string bytes;
+    for (const auto& [index, data] : state.chunks) {
+        bytes += data;
+    }
+    const auto& [version, digest, count] = key;
+    if (common::stable_hash(bytes) != digest) {
+        return fault("the chunks of a snapshot do not have its content hash");
+    }
+    auto decoded = decode_state(bytes);
+    if (!decoded) {
+        return decoded;
+    }
+    if ((*decoded)->version.value != version) {
+        return fault("a snapshot has another version than its chunks");
+    }
+    m_completed_version = version;
+    std::erase_if(m_partial,
+                  [this](const auto& item) { return std::get<0>(item.first) <= m_completed_version; });
+    return decoded;
+}
+
+} // namespace boragehollow::codec
--- /dev/null
+++ b/packages/codec/tests/change_codec_test.cpp
@@ -0,0 +1,81 @@
+#include "boragehollow/codec/change_codec.hpp"
+#include "boragehollow/codec/resource_message.hpp"
+#include "boragehollow/config/limits.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehollow::codec {
+namespace {
+
+config::change every_kind() {
+    config::service_policy policy{.name = "orders"};
+    policy.balancing = config::round_robin{};
+    policy.retry.budget_ratio = 0.35;
+    policy.admission.fair_queueing = false;
+    config::change value{"id-1", "ana", 1, {}};
+    value.operations.emplace_back(config::put_operation{policy, config::revision{0}});
+    value.operations.emplace_back(config::put_operation{config::route{.name = "r",
+                                                                      .host = "desk.example",
+                                                                      .methods = {"GET", "PUT"},
+                                                                      .service = "orders",
+                                                                      .idempotent = true,
+                                                                      .work = config::work_class::long_work},
+                                                        {}});
+    value.operations.emplace_back(config::put_operation{
+        config::target_rule{.name = "t", .service = "orders", .labels = {{"b", "2"}, {"a", "1"}, {"c", "3"}}},
+        config::revision{9}});
+    value.operations.emplace_back(
+        config::delete_operation{{config::resource_kind::target_rule, "old"}, config::revision{4}});
+    value.operations.emplace_back(config::activate_schema_operation{2});
+    return value;
+}
+
+TEST(change_codec, keeps_every_field) {
+    const auto bytes = encode_change(every_kind());
+    ASSERT_TRUE(bytes);
+    EXPECT_EQ(decode_change(*bytes, 1), every_kind());
+}
+
+// Guards against a record that one daemon decodes and another does not.
+TEST(change_codec, cut_or_damaged_bytes_are_an_error_or_a_value_but_never_a_crash) {
+    const std::string bytes = *encode_change(every_kind());
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        (void)decode_change(std::string_view(bytes).substr(0, i), 1);
+        std::string damaged = bytes;
+        damaged[i] = static_cast<char>(damaged[i] ^ '\x55');
+        (void)decode_change(damaged, 1);
+    }
+    EXPECT_TRUE(std::holds_alternative<malformed>(decode_change("\xff\xff", 1).error()));
+}
+
+TEST(change_codec, refuses_what_is_over_the_size_limit) {
+    config::change value = every_kind();
+    value.author = std::string(config::max_encoded_change, 'x');
+    const auto encoded = encode_change(value);
+    ASSERT_FALSE(encoded);
+    EXPECT_GT(encoded.error().size, config::max_encoded_change);
+    const std::string large(config::max_encoded_change + 1, 'x');
+    EXPECT_TRUE(std::holds_alternative<too_large>(decode_change(large, 1).error()));
+}
+
+// Guards against different verdicts of two builds on a record of a schema that only one of them knows.
+TEST(change_codec, does_not_interpret_another_schema) {
+    messages::Change message;
+    message.set_change_id("id-1");
+    message.set_schema(2);
+    message.add_operations();
+    const auto other = decode_change(serialize(message), 1);
+    ASSERT_TRUE(other);
+    EXPECT_EQ(*other, (config::change{"id-1", "", 2, {}}));
+    EXPECT_TRUE(std::holds_alternative<malformed>(decode_change(serialize(message), 2).error()));
+}
+
+TEST(change_codec, refuses_unknown_enumeration_values) {
+    messages::Change message;
+    message.set_schema(1);
+    message.add_operations()->mutable_put()->mutable_route()->set_work(static_cast<messages::WorkClass>(9));
+    EXPECT_FALSE(decode_change(serialize(message), 1));
+}
+
+} // namespace
+} // namespace boragehollow::codec
--- /dev/null
+++ b/packages/codec/tests/resource_json_test.cpp
@@ -0,0 +1,114 @@
+#include "boragehollow/codec/change_json.hpp"
+#include "boragehollow/codec/duration_text.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehollow::codec {
+namespace {
+
+using std::chrono::milliseconds;
+using faults_by_field = std::map<std::string, json_fault_kind>;
+
+template <class T>
+faults_by_field faults_of(const char* text) {
+    faults_by_field result;
+    const auto value = parse_json(text);
+    if (!value) {
+        return {{value.error().field, value.error().kind}};
+    }
+    const auto read = from_json<T>(*value);
+    if (read) {
+        return result;
+    }
+    for (const json_fault& fault : read.error()) {
+        result.emplace(fault.field, fault.kind);
+    }
+    return result;
+}
+
+TEST(resource_json, keeps_every_field) {
+    config::service_policy policy{.name = "orders"};
+    policy.balancing = config::peak_ewma{milliseconds{1'500}};
+    policy.hedging.enabled = true;
+    policy.ejection.max_fraction = 0.25;
+    config::change value{"id-1", "ana", 1, {}};
+    value.operations.emplace_back(config::put_operation{policy, config::revision{7}});
+    value.operations.emplace_back(config::put_operation{
+        config::route{.name = "r", .methods = {"GET"}, .service = "orders", .deadline = milliseconds{250}},
+        {}});
+    value.operations.emplace_back(config::put_operation{
+        config::target_rule{.name = "t", .service = "orders", .labels = {{"a", "1"}}}, {}});
+    value.operations.emplace_back(config::delete_operation{{config::resource_kind::route, "old"}, {}});
+    value.operations.emplace_back(config::activate_schema_operation{2});
+    const auto parsed = parse_json(dump_json(to_json(value)));
+    ASSERT_TRUE(parsed);
+    EXPECT_EQ(from_json<config::change>(*parsed), value);
+
+    const config::change_outcome outcome{
+        "id-1",
+        {4},
+        "ana",
+        config::rejected{config::rejection_reason::revision_conflict, "d", "f",
+                         config::resource_key{config::resource_kind::route, "r"}}};
+    EXPECT_EQ(from_json<config::change_outcome>(to_json(outcome)), outcome);
+    EXPECT_EQ(from_json<config::verdict>(to_json(config::verdict{})), config::verdict{});
+}
+
+TEST(resource_json, absent_fields_have_their_defaults) {
+    const auto value = parse_json(R"({"kind":"route","name":"r","service":"s"})");
+    EXPECT_EQ(from_json<config::resource>(*value),
+              config::resource(config::route{.name = "r", .service = "s"}));
+}
+
+// Guards against a misspelt field that is silently ignored, and against stopping at the first fault.
+TEST(resource_json, names_every_faulty_field) {
+    using enum json_fault_kind;
+    EXPECT_EQ(faults_of<config::resource>(
+                  R"({"kind":"route","methods":["GET",1],"deadline":250,"idempotant":true,"work":"huge"})"),
+              (faults_by_field{{"name", missing_field},
+                               {"service", missing_field},
+                               {"methods[1]", wrong_type},
+                               {"deadline", wrong_type},
+                               {"idempotant", unknown_field},
+                               {"work", bad_value}}));
+    EXPECT_EQ(faults_of<config::change>(
+                  R"({"change_id":"x","operations":[{"put":{"kind":"service_policy","name":"s",
+                      "retry":{"max_attempts":-1,"base_backoff":"5 ms"},"admission":{"queue_length":4294967296},
+                      "balancing":{"kind":"peak_ewma","decay":"5s","x":1}}},{"expected_revision":1}]})"),
+              (faults_by_field{{"operations[0].put.retry.max_attempts", out_of_range},
+                               {"operations[0].put.retry.base_backoff", bad_value},
+                               {"operations[0].put.admission.queue_length", out_of_range},
+                               {"operations[0].put.balancing.x", unknown_field},
+                               {"operations[1]", missing_field}}));
+    EXPECT_EQ(faults_of<config::resource>(R"({"kind":"rout"})"), (faults_by_field{{"kind", bad_value}}));
+    EXPECT_EQ(faults_of<config::resource>("[]"), (faults_by_field{{"", wrong_type}}));
+}
+
+TEST(resource_json, refuses_bad_syntax_bad_utf8_and_repeated_fields) {
+    using enum json_fault_kind;
+    EXPECT_EQ(faults_of<config::resource>("{"), (faults_by_field{{"", syntax}}));
+    EXPECT_EQ(faults_of<config::resource>("{\"kind\":\"\xff\"}"), (faults_by_field{{"", syntax}}));
+    EXPECT_EQ(faults_of<config::resource>(R"({"kind":"route","kind":"route"})"),
+              (faults_by_field{{"kind", syntax}}));
+}
+
+// A rejected detail may quote bytes that an operator sent; printing it must not fail.
+TEST(resource_json, prints_bytes_that_are_not_utf8) {
+    const config::verdict value = config::rejected{config::rejection_reason::undecodable, "\xff", "", {}};
+    EXPECT_NE(dump_json(to_json(value)).find("\xef\xbf\xbd"), std::string::npos);
+}
+
+TEST(duration_text, reads_and_writes_units) {
+    EXPECT_EQ(parse_duration("250ms"), milliseconds{250});
+    EXPECT_EQ(parse_duration("10s"), milliseconds{10'000});
+    EXPECT_EQ(parse_duration("2h"), milliseconds{7'200'000});
+    for (const char* text : {"", "10", "ms", "-1s", "1.5s", " 1s", "1s ", "9223372036854775807s", "1d"}) {
+        EXPECT_EQ(parse_duration(text), std::nullopt) << text;
+    }
+    EXPECT_EQ(format_duration(milliseconds{90'000}), "90s");
+    EXPECT_EQ(format_duration(milliseconds{1'500}), "1500ms");
+    EXPECT_EQ(format_duration(milliseconds{0}), "0ms");
+}
+
+} // namespace
+} // namespace boragehollow::codec
--- a/tools/bench/config_bench.cpp
+++ b/tools/bench/config_bench.cpp
@@ -1,4 +1,6 @@
 // Measures the configuration libraries with 2,000 resources: 500 service policies, 1,000 routes, 500 rules.
+#include "boragehollow/codec/change_codec.hpp"
+#include "boragehollow/codec/state_codec.hpp"
 #include "boragehollow/common/time.hpp"
 #include "boragehollow/config/config_state.hpp"
 #include "boragehollow/routing/route_table.hpp"
@@ -101,6 +103,29 @@
     std::printf("%-28s found=%zu of %d\n", "", found_count, batch * round_count);
 }
 
+void measure_state_codec(const config::config_snapshot& snapshot) {
+    constexpr int rounds = 50;
+    std::vector<nanoseconds> encode_times;
+    std::vector<nanoseconds> decode_times;
+    encode_times.reserve(rounds);
+    decode_times.reserve(rounds);
+    std::string bytes;
+    std::size_t failed_count = 0;
+    for (int i = 0; i < rounds; ++i) {
+        encode_times.push_back(timed([&] { bytes = codec::encode_state(snapshot); }));
+        decode_times.push_back(timed([&] { failed_count += codec::decode_state(bytes) ? 0 : 1; }));
+    }
+    print("encode the state", std::move(encode_times));
+    print("decode the state", std::move(decode_times));
+    std::printf("%-28s outcomes=%zu bytes=%zu chunks=%zu failed=%zu\n", "", snapshot.outcomes().size(),
+                bytes.size(), codec::split_state(snapshot).size(), failed_count);
+    const config::change one{"0123456789abcdef0123456789abcdef",
+                             "bench",
+                             1,
+                             {config::put_operation{make_route(7), config::revision{7}}}};
+    std::printf("%-28s bytes=%zu\n", "change that puts one route", codec::encode_change(one)->size());
+}
+
 } // namespace
 
 int main() {
@@ -119,5 +144,6 @@
     }
     print("build the route table", std::move(build_times));
     measure_match(routing::route_table::build(state.snapshot()));
+    measure_state_codec(*state.snapshot());
     return 0;
 }
