Add the public headers of the membership package

Cause: other parts need the types of the member table, the target directory and the failure detector before these are implemented. Change: headers only; nothing is built from them yet.

--- /dev/null
+++ b/packages/membership/include/boragehollow/membership/datagram.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "boragehollow/common/revision.hpp"
+#include "boragehollow/membership/member.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace boragehollow::membership {
+
+struct ping {
+    std::uint64_t sequence = 0;
+    common::revision applied;
+
+    bool operator==(const ping&) const = default;
+};
+
+struct ack {
+    std::uint64_t sequence = 0;
+    common::revision applied;
+    std::string probed_host; ///< Set when the ack reports the answer of a member probed for another one.
+
+    bool operator==(const ack&) const = default;
+};
+
+/// Asks the receiver to ping `probe_host` in the sender's place.
+struct indirect_ping {
+    std::uint64_t sequence = 0;
+    common::revision applied;
+    std::string probe_host;
+
+    bool operator==(const indirect_ping&) const = default;
+};
+
+/// Reports the applied version; without an answer. Also carries urgent member entries between periods.
+struct progress_report {
+    common::revision applied;
+
+    bool operator==(const progress_report&) const = default;
+};
+
+using datagram_body = std::variant<ping, ack, indirect_ping, progress_report>;
+
+struct datagram {
+    std::string from_host;
+    datagram_body body;
+    std::vector<member> members;
+
+    bool operator==(const datagram&) const = default;
+};
+
+/// Largest UDP payload: fits into one Ethernet frame with room for tunnel headers.
+inline constexpr std::size_t max_datagram_bytes = 1200;
+
+/// Upper bound of the encoded size of one entry, with its field header.
+std::size_t estimated_size(const member& value);
+
+/// Upper bound of the encoded size, for a mesh name of at most 64 bytes.
+std::size_t estimated_size(const datagram& value);
+
+} // namespace boragehollow::membership
--- /dev/null
+++ b/packages/membership/include/boragehollow/membership/member.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace boragehollow::membership {
+
+/// Ordered by severity: within one incarnation the more severe state wins.
+enum class member_state { alive, suspect, dead, left };
+
+enum class target_state { none, starting, ready, draining, gone };
+
+/// What the target on a host has announced to its daemon.
+struct target_announcement {
+    std::string service;
+    std::map<std::string, std::string> labels;
+    std::uint32_t slots = 0;
+    target_state state = target_state::none;
+
+    bool operator==(const target_announcement&) const = default;
+};
+
+/// One daemon with the target on its host, as one daemon knows it.
+struct member {
+    std::string host;
+    std::string failure_domain;
+    common::endpoint gossip; ///< UDP.
+    common::endpoint peer;   ///< gRPC.
+    std::uint64_t incarnation = 0;
+    member_state state = member_state::alive;
+    target_announcement target;
+    /// Raised with each change of the announcement within an incarnation.
+    std::uint64_t target_sequence = 0;
+
+    bool operator==(const member&) const = default;
+};
+
+using member_ref = std::shared_ptr<const member>;
+
+/// First incarnation of a process that started at `start`. The low 16 bits count the refutations of the same
+/// process, so that a restart can be told from a refutation.
+std::uint64_t first_incarnation(common::wall_time start);
+
+/// Start of the process that an incarnation belongs to, by that host's wall clock, in whole milliseconds.
+common::wall_time process_start(std::uint64_t incarnation);
+
+bool same_process(std::uint64_t left, std::uint64_t right);
+
+inline bool is_tombstone(const member& value) {
+    return value.state == member_state::dead || value.state == member_state::left;
+}
+
+} // namespace boragehollow::membership
