--- a/packages/membership/include/boragehollow/membership/datagram.hpp
+++ b/packages/membership/include/boragehollow/membership/datagram.hpp
@@ -55,6 +55,9 @@
 /// Largest UDP payload: fits into one Ethernet frame with room for tunnel headers.
 inline constexpr std::size_t max_datagram_bytes = 1200;
 
+/// Entries above this size are refused where they are announced, so that each entry fits into any datagram.
+inline constexpr std::size_t max_member_bytes = 800;
+
 /// Upper bound of the encoded size of one entry, with its field header.
 std::size_t estimated_size(const member& value);
 
--- a/packages/membership/include/boragehollow/membership/member.hpp
+++ b/packages/membership/include/boragehollow/membership/member.hpp
@@ -33,7 +33,7 @@
     common::endpoint peer;   ///< gRPC.
     std::uint64_t incarnation = 0;
     member_state state = member_state::alive;
-    target_announcement target;
+    target_announcement target{};
     /// Raised with each change of the announcement within an incarnation.
     std::uint64_t target_sequence = 0;
 
--- a/packages/membership/include/boragehollow/membership/member_table.hpp
+++ b/packages/membership/include/boragehollow/membership/member_table.hpp
@@ -55,6 +55,7 @@
     const std::array<std::uint64_t, bucket_count>& bucket_hashes() const { return m_bucket_hashes; }
     std::vector<member_ref> entries_of_bucket(std::size_t bucket) const;
     static std::size_t bucket_of(std::string_view host);
+    static std::size_t bucket_of_entry(std::uint64_t hash);
 
     /// Removes the tombstones whose time is over and returns them.
     std::vector<member_ref> expire(common::steady_time now);
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -3,12 +3,17 @@
 #include "boragehollow/common/random_source.hpp"
 #include "boragehollow/common/revision.hpp"
 #include "boragehollow/membership/datagram.hpp"
+#include "boragehollow/membership/failure_detector.hpp"
+#include "boragehollow/membership/gossip_queue.hpp"
 #include "boragehollow/membership/member_table.hpp"
 #include "boragehollow/membership/synchronization.hpp"
 #include "boragehollow/membership/target_directory.hpp"
+#include "boragehollow/membership/target_view.hpp"
+#include "boragehollow/membership/version_floors.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,8 +45,9 @@
     left,
     returned, ///< A new process of a known host.
     target_changed,
-    self_refuted,  ///< This daemon raised its own incarnation because others suspected it.
-    name_conflict, ///< Another process uses this daemon's host name.
+    self_refuted,         ///< This daemon raised its own incarnation because others suspected it.
+    announcement_refused, ///< The local announcement is too large for a datagram.
+    name_conflict,        ///< Another process uses this daemon's host name.
 };
 
 /// For the timeline.
@@ -96,9 +102,6 @@
     /// `self.incarnation` is `first_incarnation` of the start of this process. `seeds` are UDP endpoints.
     membership_engine(member self, std::vector<common::endpoint> seeds, engine_settings settings,
                       common::random_source random, common::steady_time now);
-    ~membership_engine();
-    membership_engine(membership_engine&&) noexcept;
-    membership_engine& operator=(membership_engine&&) noexcept;
 
     membership_effects receive(const datagram& received, const common::endpoint& from,
                                common::steady_time now);
@@ -115,7 +118,7 @@
     common::steady_time next_wakeup() const;
 
     std::shared_ptr<const target_directory> directory(common::steady_time now);
-    const member& self() const;
+    const member& self() const { return *m_self; }
     member_ref find(std::string_view host) const;
     std::vector<member_ref> members() const;
     member_counts counts() const;
@@ -128,8 +131,86 @@
     progress_counts progress(common::revision version) const;
 
 private:
-    struct state;
-    std::unique_ptr<state> m_state;
+    struct relayed_probe {
+        common::endpoint requester;
+        std::uint64_t requester_sequence = 0;
+        std::string host;
+        common::steady_time forget_at{};
+    };
+
+    // membership_engine.cpp: messages and the table.
+    void apply(const member_ref& received, common::steady_time now, membership_effects& effects);
+    void apply_change(const merge_result& change, common::steady_time now, membership_effects& effects);
+    void follow_state(const merge_result& change, common::steady_time now);
+    void refute(const member& accusation, common::steady_time now, membership_effects& effects);
+    void change_self(common::steady_time now, membership_effects& effects);
+    void answer_ping(const datagram& received, const ping& request, const common::endpoint& from,
+                     common::steady_time now, membership_effects& effects);
+    void probe_for(const indirect_ping& request, const common::endpoint& from, common::steady_time now,
+                   membership_effects& effects);
+    void take_ack(const datagram& received, const ack& answer, common::steady_time now,
+                  membership_effects& effects);
+    void apply_all(const std::vector<member_ref>& received, bool gossip, common::steady_time now,
+                   membership_effects& effects);
+    common::steady_time first_seen_of(const member& value, common::steady_time now) const;
+
+    // membership_engine_timers.cpp: what happens by time.
+    void notice_own_pause(common::steady_time now);
+    void probe_next(common::steady_time now, membership_effects& effects);
+    void probe_one(const member& probed, common::steady_time now, membership_effects& effects);
+    void contact_seed(common::steady_time now, membership_effects& effects);
+    void retry_dead_member(common::steady_time now, membership_effects& effects);
+    void send_indirect_pings(common::steady_time now, membership_effects& effects);
+    void suspect_failed(common::steady_time now, membership_effects& effects);
+    void declare_dead(common::steady_time now, membership_effects& effects);
+    void push_urgent(common::steady_time now, membership_effects& effects);
+    void push(const std::vector<member>& mandatory, common::steady_time now, membership_effects& effects);
+    void report_progress(common::steady_time now, membership_effects& effects);
+    void start_reconciliation(common::steady_time now, membership_effects& effects);
+    void expire(common::steady_time now, membership_effects& effects);
+    void publish_directory(common::steady_time now, membership_effects& effects);
+
+    /// Builds a datagram with `mandatory` entries first and queued ones in the remaining room.
+    void send(const common::endpoint& to, datagram_body body, std::vector<member> mandatory,
+              common::steady_time now, membership_effects& effects);
+    void mark_directory_changed(common::steady_time now);
+    std::size_t transmissions() const;
+    bool is_own_domain(const member& value) const { return value.failure_domain == m_self->failure_domain; }
+    bool has_left() const { return m_self->state == member_state::left; }
+
+    member_ref m_self;
+    std::vector<common::endpoint> m_seeds;
+    engine_settings m_settings;
+    common::random_source m_random;
+    common::steady_time m_started;
+    common::revision m_applied;
+
+    member_table m_table;
+    target_view m_targets;
+    version_floors m_floors;
+    gossip_queue m_queue;
+    probe_order m_peers;             ///< Live and suspected members of the own domain, without self.
+    probe_order m_distant;           ///< The same of all other domains.
+    std::vector<std::string> m_dead; ///< Dead members of the own domain.
+    probe_tracker m_probes;
+    suspicion_timers m_suspicions;
+    std::map<std::uint64_t, relayed_probe> m_relayed;
+
+    std::uint64_t m_last_sequence = 0;
+    std::uint64_t m_periods = 0;
+    std::uint64_t m_reconciliations = 0;
+    bool m_has_whole_table = false;
+    std::size_t m_early_reconciliations = 3; ///< After the start, when the first peer may know little itself.
+    bool m_gossip_changes = true;            ///< Off while a reply that changes very much is taken in.
+    common::steady_time m_last_tick;
+    common::steady_time m_next_probe;
+    common::steady_time m_next_reconciliation;
+    common::steady_time m_next_progress;
+    common::steady_time m_next_expiry;
+    common::steady_time m_next_push = common::steady_time::max();
+    common::steady_time m_next_directory = common::steady_time::max();
+    common::steady_time m_last_directory;
+    common::steady_time m_insist_on_self_until; ///< Own entry goes into every datagram after a refutation.
 };
 
 } // namespace boragehollow::membership
--- /dev/null
+++ b/packages/membership/include/boragehollow/membership/target_view.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "boragehollow/membership/target_directory.hpp"
+
+#include <chrono>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace boragehollow::membership {
+
+/// Follows the member table and builds the target directory from it. Only the lists of services that changed
+/// are built again.
+class target_view {
+public:
+    explicit target_view(std::chrono::milliseconds lost_retention) : m_lost_retention(lost_retention) {}
+
+    /// Takes the current entry of a host over. `first_seen` is when a new target counts as first seen.
+    /// Returns true when the directory changes.
+    bool update(const member_ref& value, common::steady_time first_seen, common::steady_time now);
+
+    /// Drops the lost targets whose retention is over. Returns true when the directory changes.
+    bool expire(common::steady_time now);
+    common::steady_time next_expiry() const;
+
+    std::shared_ptr<const target_directory> directory();
+
+private:
+    /// Target of one process on one host.
+    struct instance {
+        member_ref value;
+        common::steady_time first_seen{};
+        std::optional<common::steady_time> lost_since;
+    };
+
+    void lose(instance& lost, common::steady_time now);
+    void mark_changed(const instance& changed) { m_changed_services.insert(changed.value->target.service); }
+    bool refresh(instance& known, const member_ref& value, common::steady_time now);
+    std::shared_ptr<const target_list> build(const std::string& service) const;
+
+    std::chrono::milliseconds m_lost_retention;
+    std::unordered_map<std::string, std::vector<instance>> m_by_host;
+    std::map<std::string, std::set<std::string>, std::less<>> m_hosts_by_service;
+    std::set<std::pair<common::steady_time, std::string>> m_expiries;
+    std::set<std::string> m_changed_services;
+    std::shared_ptr<const target_directory> m_directory = std::make_shared<target_directory>();
+};
+
+} // namespace boragehollow::membership
--- /dev/null
+++ b/packages/membership/src/datagram.cpp
@@ -0,0 +1,45 @@
+#include "boragehollow/membership/datagram.hpp"
+
+namespace boragehollow::membership {
+
+namespace {
+
+// Field headers, varints of at most 10 bytes, and length prefixes of nested messages, rounded up.
+constexpr std::size_t member_overhead = 44;
+constexpr std::size_t endpoint_overhead = 8;
+constexpr std::size_t label_overhead = 8;
+constexpr std::size_t body_overhead = 32;
+// Protocol number, hybrid timestamp and a mesh name of 64 bytes.
+constexpr std::size_t header_overhead = 96;
+
+std::size_t body_size(const datagram_body& body) {
+    if (const auto* answer = std::get_if<ack>(&body)) {
+        return body_overhead + answer->probed_host.size();
+    }
+    if (const auto* request = std::get_if<indirect_ping>(&body)) {
+        return body_overhead + request->probe_host.size();
+    }
+    return body_overhead;
+}
+
+} // namespace
+
+std::size_t estimated_size(const member& value) {
+    std::size_t size = member_overhead + value.host.size() + value.failure_domain.size();
+    size += 2 * endpoint_overhead + value.gossip.address.size() + value.peer.address.size();
+    size += value.target.service.size();
+    for (const auto& [name, text] : value.target.labels) {
+        size += label_overhead + name.size() + text.size();
+    }
+    return size;
+}
+
+std::size_t estimated_size(const datagram& value) {
+    std::size_t size = header_overhead + value.from_host.size() + body_size(value.body);
+    for (const member& entry : value.members) {
+        size += estimated_size(entry);
+    }
+    return size;
+}
+
+} // namespace boragehollow::membership
--- /dev/null
+++ b/packages/membership/src/membership_engine.cpp
@@ -0,0 +1,493 @@
+#include "boragehollow/membership/membership_engine.hpp"
+
+#include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/membership/roles.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace boragehollow::membership {
+
+namespace {
+
+// A short delay collects the urgent changes of one moment into one round of pushes.
+constexpr std::chrono::milliseconds push_delay{20};
+// A reply with more changes than this comes after a partition or a start. Piggybacking them all would crowd
+// out the news; reconciliation carries them to the other members.
+constexpr std::size_t max_changes_to_gossip = 256;
+// After a large difference the two tables are probably not the only ones that lag.
+constexpr std::size_t differences_for_early_repeat = 16;
+constexpr std::chrono::seconds early_repeat{2};
+constexpr std::chrono::seconds relay_patience{1};
+// Long enough for the refutation to reach every member that could still hold the suspicion.
+constexpr std::chrono::seconds insist_on_self{3};
+
+bool is_urgent(const merge_result& change) {
+    const member& after = *change.after;
+    const bool target_leaves =
+        after.target.state == target_state::draining || after.target.state == target_state::gone;
+    const bool leaves_now = target_leaves && (!change.before || change.before->target != after.target);
+    const bool was_accused = change.before && change.before->state != member_state::alive;
+    const bool refuted = was_accused && after.state == member_state::alive;
+    return is_tombstone(after) || leaves_now || refuted;
+}
+
+std::optional<member_event_kind> event_of(const merge_result& change) {
+    const member& after = *change.after;
+    const bool state_changed = !change.before || change.before->state != after.state;
+    if (state_changed && after.state != member_state::alive) {
+        switch (after.state) {
+        case member_state::suspect:
+            return member_event_kind::suspected;
+        case member_state::dead:
+            return member_event_kind::died;
+        default:
+            return member_event_kind::left;
+        }
+    }
+    if (!change.before) {
+        return member_event_kind::joined;
+    }
+    if (!same_process(change.before->incarnation, after.incarnation)) {
+        return member_event_kind::returned;
+    }
+    if (state_changed) {
+        return member_event_kind::refuted;
+    }
+    if (change.before->target != after.target) {
+        return member_event_kind::target_changed;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+membership_engine::membership_engine(member self, std::vector<common::endpoint> seeds,
+                                     engine_settings settings, common::random_source random,
+                                     common::steady_time now)
+    : m_self(std::make_shared<const member>(std::move(self))), m_seeds(std::move(seeds)),
+      m_settings(settings), m_random(random), m_started(now), m_targets(settings.lost_target_retention),
+      m_queue(settings.gossip_bytes_per_second, settings.gossip_burst_bytes, now), m_last_tick(now),
+      m_next_probe(now + m_random.jitter(settings.period)),
+      m_next_reconciliation(now + m_random.jitter(std::chrono::seconds(1))),
+      m_next_progress(now + m_random.jitter(settings.progress_interval)),
+      m_next_expiry(now + std::chrono::minutes(1)), m_last_directory(now - std::chrono::hours(1)),
+      m_insist_on_self_until(now) {
+    std::erase(m_seeds, m_self->gossip);
+    m_table.merge(m_self, now);
+    m_targets.update(m_self, now, now);
+    m_queue.add(m_self, true);
+    mark_directory_changed(now);
+}
+
+membership_effects membership_engine::receive(const datagram& received, const common::endpoint& from,
+                                              common::steady_time now) {
+    membership_effects effects;
+    if (received.from_host == m_self->host) {
+        return effects;
+    }
+    for (const member& entry : received.members) {
+        apply(std::make_shared<const member>(entry), now, effects);
+    }
+    const auto heard = [&](common::revision applied) { m_floors.heard(received.from_host, applied, now); };
+    std::visit(common::overloaded{
+                   [&](const ping& request) {
+                       heard(request.applied);
+                       answer_ping(received, request, from, now, effects);
+                   },
+                   [&](const ack& answer) {
+                       heard(answer.applied);
+                       take_ack(received, answer, now, effects);
+                   },
+                   [&](const indirect_ping& request) {
+                       heard(request.applied);
+                       probe_for(request, from, now, effects);
+                   },
+                   [&](const progress_report& report) { heard(report.applied); },
+               },
+               received.body);
+    return effects;
+}
+
+void membership_engine::answer_ping(const datagram& received, const ping& request,
+                                    const common::endpoint& from, common::steady_time now,
+                                    membership_effects& effects) {
+    std::vector<member> mandatory;
+    const member_ref sender = m_table.find(received.from_host);
+    // A sender that is not known as alive has to learn it, so that it can refute.
+    if (sender && sender->state != member_state::alive) {
+        mandatory.push_back(*sender);
+    }
+    const bool introduced = std::any_of(received.members.begin(), received.members.end(),
+                                        [&](const member& m) { return m.host == received.from_host; });
+    if (introduced) {
+        mandatory.push_back(*m_self);
+    }
+    send(from, ack{request.sequence, m_applied, {}}, std::move(mandatory), now, effects);
+}
+
+void membership_engine::probe_for(const indirect_ping& request, const common::endpoint& from,
+                                  common::steady_time now, membership_effects& effects) {
+    const member_ref probed = m_table.find(request.probe_host);
+    if (!probed || has_left()) {
+        return;
+    }
+    const std::uint64_t sequence = ++m_last_sequence;
+    m_relayed[sequence] = {from, request.sequence, request.probe_host, now + relay_patience};
+    send(probed->gossip, ping{sequence, m_applied}, {}, now, effects);
+}
+
+void membership_engine::take_ack(const datagram& received, const ack& answer, common::steady_time now,
+                                 membership_effects& effects) {
+    const std::string& answering = answer.probed_host.empty() ? received.from_host : answer.probed_host;
+    m_probes.answered(answer.sequence, answering);
+    const auto relayed = m_relayed.find(answer.sequence);
+    if (relayed == m_relayed.end() || relayed->second.host != received.from_host) {
+        return;
+    }
+    const relayed_probe relay = std::move(relayed->second);
+    m_relayed.erase(relayed);
+    send(relay.requester, ack{relay.requester_sequence, m_applied, relay.host}, {}, now, effects);
+}
+
+void membership_engine::apply(const member_ref& received, common::steady_time now,
+                              membership_effects& effects) {
+    if (received->host == m_self->host) {
+        refute(*received, now, effects);
+        return;
+    }
+    const merge_result change = m_table.merge(received, now);
+    const bool took_over =
+        change.outcome == merge_outcome::changed || change.outcome == merge_outcome::combined;
+    if (took_over) {
+        apply_change(change, now, effects);
+    }
+}
+
+void membership_engine::apply_change(const merge_result& change, common::steady_time now,
+                                     membership_effects& effects) {
+    follow_state(change, now);
+    if (m_targets.update(change.after, first_seen_of(*change.after, now), now)) {
+        mark_directory_changed(now);
+    }
+    const bool urgent = is_urgent(change);
+    if (m_gossip_changes) {
+        m_queue.add(change.after, urgent);
+    }
+    if (urgent && m_gossip_changes) {
+        m_next_push = std::min(m_next_push, now + push_delay);
+    }
+    if (const auto kind = event_of(change)) {
+        effects.push_back(member_event{*kind, change.after});
+    }
+}
+
+void membership_engine::follow_state(const merge_result& change, common::steady_time now) {
+    const member& after = *change.after;
+    const bool moved = change.before && change.before->failure_domain != after.failure_domain;
+    if (moved) {
+        m_peers.remove(after.host);
+        m_distant.remove(after.host);
+    }
+    probe_order& listed = is_own_domain(after) ? m_peers : m_distant;
+    const bool was_listed = change.before && !is_tombstone(*change.before) && !moved;
+    if (is_tombstone(after)) {
+        listed.remove(after.host);
+    } else if (!was_listed) {
+        listed.add(after.host, m_random);
+    }
+    m_suspicions.cancel(after.host);
+    std::erase(m_dead, after.host);
+    if (!is_own_domain(after)) {
+        return;
+    }
+    if (after.state == member_state::suspect) {
+        m_suspicions.start(after.host, now + m_settings.suspicion);
+    }
+    if (after.state == member_state::dead) {
+        m_dead.push_back(after.host);
+    }
+}
+
+common::steady_time membership_engine::first_seen_of(const member& value, common::steady_time now) const {
+    if (m_has_whole_table) {
+        return now;
+    }
+    // A starting daemon has seen nothing before. The start of the target's process, as both wall clocks tell
+    // it, is the best bound on when the others saw the target first.
+    const auto earlier = process_start(m_self->incarnation) - process_start(value.incarnation);
+    return std::min(now, m_started - std::chrono::duration_cast<common::steady_clock::duration>(earlier));
+}
+
+void membership_engine::refute(const member& accusation, common::steady_time now,
+                               membership_effects& effects) {
+    if (has_left() || accusation.incarnation < m_self->incarnation) {
+        return;
+    }
+    const bool harmless = accusation.incarnation == m_self->incarnation &&
+                          accusation.state == member_state::alive &&
+                          accusation.target_sequence <= m_self->target_sequence;
+    if (harmless) {
+        return;
+    }
+    member raised = *m_self;
+    if (same_process(accusation.incarnation, m_self->incarnation)) {
+        raised.incarnation = accusation.incarnation + 1;
+    } else {
+        // Stays recognizable as another process than the one whose entry it replaces.
+        const common::wall_time after_other =
+            process_start(accusation.incarnation) + std::chrono::milliseconds(1);
+        raised.incarnation = first_incarnation(after_other);
+        const bool elsewhere = !is_tombstone(accusation) && accusation.gossip != m_self->gossip;
+        if (elsewhere) {
+            effects.push_back(
+                member_event{member_event_kind::name_conflict, std::make_shared<const member>(accusation)});
+        }
+    }
+    m_self = std::make_shared<const member>(std::move(raised));
+    m_insist_on_self_until = now + insist_on_self;
+    effects.push_back(member_event{member_event_kind::self_refuted, m_self});
+    change_self(now, effects);
+}
+
+void membership_engine::change_self(common::steady_time now, membership_effects& effects) {
+    m_table.merge(m_self, now);
+    if (m_targets.update(m_self, now, now)) {
+        mark_directory_changed(now);
+    }
+    m_queue.add(m_self, true);
+    push({*m_self}, now, effects);
+}
+
+membership_effects membership_engine::announce_local_target(target_announcement announcement,
+                                                            common::steady_time now) {
+    membership_effects effects;
+    if (announcement == m_self->target) {
+        return effects;
+    }
+    member changed = *m_self;
+    changed.target = std::move(announcement);
+    ++changed.target_sequence;
+    if (estimated_size(changed) > max_member_bytes) {
+        effects.push_back(member_event{member_event_kind::announcement_refused,
+                                       std::make_shared<const member>(std::move(changed))});
+        return effects;
+    }
+    m_self = std::make_shared<const member>(std::move(changed));
+    effects.push_back(member_event{member_event_kind::target_changed, m_self});
+    change_self(now, effects);
+    return effects;
+}
+
+membership_effects membership_engine::note_local_version(common::revision applied, common::steady_time now) {
+    if (applied > m_applied) {
+        m_applied = applied;
+        // Spreads the reports of a domain, which all apply a change at nearly the same time.
+        m_next_progress = std::min(m_next_progress, now + m_random.jitter(std::chrono::seconds(1)));
+    }
+    return {};
+}
+
+membership_effects membership_engine::leave(common::steady_time now) {
+    membership_effects effects;
+    if (has_left()) {
+        return effects;
+    }
+    member leaving = *m_self;
+    leaving.state = member_state::left;
+    m_self = std::make_shared<const member>(std::move(leaving));
+    change_self(now, effects);
+    return effects;
+}
+
+sync_request membership_engine::begin_sync() const {
+    sync_request request;
+    if (!m_has_whole_table) {
+        request.whole_table = true;
+        request.members.push_back(m_self);
+        return request;
+    }
+    const auto& hashes = m_table.bucket_hashes();
+    request.bucket_hashes.assign(hashes.begin(), hashes.end());
+    return request;
+}
+
+void membership_engine::apply_all(const std::vector<member_ref>& received, bool gossip,
+                                  common::steady_time now, membership_effects& effects) {
+    m_gossip_changes = gossip && received.size() <= max_changes_to_gossip;
+    for (const member_ref& value : received) {
+        apply(value, now, effects);
+    }
+    m_gossip_changes = true;
+    const bool many_differences = received.size() > differences_for_early_repeat;
+    if (many_differences && m_has_whole_table) {
+        m_next_reconciliation =
+            std::min(m_next_reconciliation, now + early_repeat / 2 + m_random.jitter(early_repeat));
+    }
+}
+
+sync_answer membership_engine::answer_sync(const sync_request& request, common::steady_time now) {
+    sync_answer answer;
+    apply_all(request.members, true, now, answer.effects);
+    if (request.whole_table) {
+        for (member_ref& value : m_table.entries()) {
+            if (!is_tombstone(*value)) {
+                answer.reply.members.push_back(std::move(value));
+            }
+        }
+        for (member_ref& value : m_table.tombstones_since(now - 2 * m_settings.lost_target_retention)) {
+            answer.reply.members.push_back(std::move(value));
+        }
+        return answer;
+    }
+    for (const member_ref& received : request.members) {
+        member_ref known = m_table.find(received->host);
+        if (known && *known != *received) {
+            answer.reply.members.push_back(std::move(known));
+        }
+    }
+    const std::set<std::uint64_t> wanted(request.wanted_entries.begin(), request.wanted_entries.end());
+    std::set<std::size_t> buckets;
+    for (const std::uint64_t hash : wanted) {
+        buckets.insert(member_table::bucket_of_entry(hash));
+    }
+    for (const std::size_t bucket : buckets) {
+        for (member_ref& value : m_table.entries_of_bucket(bucket)) {
+            if (wanted.contains(entry_hash(*value))) {
+                answer.reply.members.push_back(std::move(value));
+            }
+        }
+    }
+    if (request.bucket_hashes.size() != bucket_count) {
+        return answer;
+    }
+    for (std::size_t bucket = 0; bucket < bucket_count; ++bucket) {
+        if (request.bucket_hashes[bucket] == m_table.bucket_hashes()[bucket]) {
+            continue;
+        }
+        answer.reply.differing_buckets.push_back(static_cast<std::uint32_t>(bucket));
+        for (const member_ref& value : m_table.entries_of_bucket(bucket)) {
+            if (!is_tombstone(*value)) {
+                answer.reply.entry_hashes.push_back(entry_hash(*value));
+            }
+        }
+    }
+    return answer;
+}
+
+sync_step membership_engine::sync_replied(const sync_reply& reply, common::steady_time now) {
+    sync_step step;
+    sync_request next;
+    apply_all(reply.members, m_has_whole_table, now, step.effects);
+    m_has_whole_table = m_has_whole_table || !reply.members.empty();
+    for (const member_ref& received : reply.members) {
+        member_ref known = m_table.find(received->host);
+        const bool newer_here = known && known->host != m_self->host && join(*known, *received) != *received;
+        if (newer_here) {
+            next.members.push_back(std::move(known));
+        }
+    }
+    const std::set<std::uint64_t> theirs(reply.entry_hashes.begin(), reply.entry_hashes.end());
+    std::set<std::uint64_t> ours;
+    for (const std::uint32_t bucket : reply.differing_buckets) {
+        if (bucket >= bucket_count) {
+            continue;
+        }
+        for (member_ref& value : m_table.entries_of_bucket(bucket)) {
+            const std::uint64_t hash = entry_hash(*value);
+            ours.insert(hash);
+            if (!is_tombstone(*value) && !theirs.contains(hash)) {
+                next.members.push_back(std::move(value));
+            }
+        }
+    }
+    std::set_difference(theirs.begin(), theirs.end(), ours.begin(), ours.end(),
+                        std::back_inserter(next.wanted_entries));
+    if (!next.members.empty() || !next.wanted_entries.empty()) {
+        step.next = std::move(next);
+    }
+    return step;
+}
+
+std::shared_ptr<const target_directory> membership_engine::directory(common::steady_time now) {
+    m_targets.expire(now);
+    return m_targets.directory();
+}
+
+member_ref membership_engine::find(std::string_view host) const {
+    return m_table.find(host);
+}
+
+std::vector<member_ref> membership_engine::members() const {
+    return m_table.entries();
+}
+
+member_counts membership_engine::counts() const {
+    member_counts counts;
+    for (const member_ref& value : m_table.entries()) {
+        switch (value->state) {
+        case member_state::alive:
+            ++counts.alive;
+            break;
+        case member_state::suspect:
+            ++counts.suspect;
+            break;
+        case member_state::dead:
+            ++counts.dead;
+            break;
+        case member_state::left:
+            ++counts.left;
+            break;
+        }
+    }
+    return counts;
+}
+
+std::vector<std::string> membership_engine::live_hosts(std::string_view failure_domain) const {
+    std::vector<std::string> hosts;
+    for (const member_ref& value : m_table.entries()) {
+        if (!is_tombstone(*value) && value->failure_domain == failure_domain) {
+            hosts.push_back(value->host);
+        }
+    }
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
+std::vector<std::string> membership_engine::failure_domains() const {
+    std::set<std::string> domains;
+    for (const member_ref& value : m_table.entries()) {
+        domains.insert(value->failure_domain);
+    }
+    return {domains.begin(), domains.end()};
+}
+
+common::revision membership_engine::floor(std::string_view host) const {
+    return m_floors.floor(host);
+}
+
+progress_counts membership_engine::progress(common::revision version) const {
+    progress_counts counts{1, m_applied >= version ? 1U : 0U, m_applied};
+    for (const std::string& host : m_peers.hosts()) {
+        const common::revision applied = m_floors.floor(host);
+        ++counts.members;
+        counts.at_or_past += applied >= version ? 1 : 0;
+        counts.oldest = std::min(counts.oldest, applied);
+    }
+    return counts;
+}
+
+std::size_t membership_engine::transmissions() const {
+    const double members = static_cast<double>(m_peers.hosts().size()) + 2;
+    return static_cast<std::size_t>(std::ceil(2 * std::log(members)));
+}
+
+void membership_engine::mark_directory_changed(common::steady_time now) {
+    // Changes that come in quick succession are published together.
+    constexpr std::chrono::milliseconds spacing{100};
+    m_next_directory = std::min(m_next_directory, std::max(now, m_last_directory + spacing));
+}
+
+} // namespace boragehollow::membership
--- /dev/null
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -0,0 +1,242 @@
+#include "boragehollow/membership/membership_engine.hpp"
+#include "boragehollow/membership/roles.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragehollow::membership {
+
+namespace {
+
+// Three first receivers that push on to three others reach about 94% of a domain within a few round trips;
+// the piggybacked entries reach the rest.
+constexpr std::size_t push_fan_out = 3;
+// A leaving daemon has no later period in which to repeat itself.
+constexpr std::size_t leave_fan_out = 6;
+constexpr std::uint64_t periods_between_dead_retries = 10;
+constexpr std::uint64_t periods_between_seed_contacts = 60;
+constexpr std::chrono::minutes expiry_interval{1};
+constexpr std::chrono::seconds early_interval{1};
+// A tick that is later than this was delayed by a pause of this process, not by a busy ring.
+constexpr std::chrono::milliseconds own_pause{1000};
+
+} // namespace
+
+common::steady_time membership_engine::next_wakeup() const {
+    if (has_left()) {
+        return std::min(m_next_directory, m_next_expiry);
+    }
+    return std::min({m_next_probe, m_next_reconciliation, m_next_progress, m_next_expiry, m_next_push,
+                     m_next_directory, m_probes.next_due(), m_suspicions.next_due(),
+                     m_targets.next_expiry()});
+}
+
+membership_effects membership_engine::tick(common::steady_time now) {
+    membership_effects effects;
+    if (!has_left()) {
+        notice_own_pause(now);
+        send_indirect_pings(now, effects);
+        suspect_failed(now, effects);
+        declare_dead(now, effects);
+        probe_next(now, effects);
+        report_progress(now, effects);
+        start_reconciliation(now, effects);
+        if (now >= m_next_push) {
+            push_urgent(now, effects);
+        }
+    }
+    expire(now, effects);
+    publish_directory(now, effects);
+    m_last_tick = now;
+    return effects;
+}
+
+void membership_engine::notice_own_pause(common::steady_time now) {
+    if (now - m_last_tick < m_settings.period + own_pause) {
+        return;
+    }
+    // The answers to the open probes may still be waiting in the socket, and others may be wrongly suspected.
+    m_probes.clear();
+    m_suspicions.postpone(now + m_settings.suspicion);
+}
+
+void membership_engine::probe_next(common::steady_time now, membership_effects& effects) {
+    if (now < m_next_probe) {
+        return;
+    }
+    m_next_probe = now + m_settings.period;
+    ++m_periods;
+    const bool alone = m_peers.hosts().empty() && m_distant.hosts().empty();
+    if (alone || m_periods % periods_between_seed_contacts == 0) {
+        contact_seed(now, effects);
+    }
+    if (m_periods % periods_between_dead_retries == 0) {
+        retry_dead_member(now, effects);
+    }
+    const std::string host = m_peers.next(m_random);
+    if (const member_ref probed = m_table.find(host)) {
+        probe_one(*probed, now, effects);
+    }
+}
+
+void membership_engine::probe_one(const member& probed, common::steady_time now,
+                                  membership_effects& effects) {
+    const std::uint64_t sequence = ++m_last_sequence;
+    m_probes.started({sequence, probed.host, now + m_settings.ack_timeout, now + m_settings.period, false});
+    std::vector<member> mandatory;
+    if (probed.state != member_state::alive) {
+        mandatory.push_back(probed);
+    }
+    send(probed.gossip, ping{sequence, m_applied}, std::move(mandatory), now, effects);
+}
+
+void membership_engine::contact_seed(common::steady_time now, membership_effects& effects) {
+    if (m_seeds.empty()) {
+        return;
+    }
+    const common::endpoint& seed = m_seeds[m_random.index(m_seeds.size())];
+    send(seed, ping{++m_last_sequence, m_applied}, {*m_self}, now, effects);
+}
+
+void membership_engine::retry_dead_member(common::steady_time now, membership_effects& effects) {
+    // After a partition inside the domain both sides hold each other for dead, and only this brings them
+    // together.
+    if (m_dead.empty()) {
+        return;
+    }
+    const member_ref dead = m_table.find(m_dead[m_random.index(m_dead.size())]);
+    if (dead) {
+        send(dead->gossip, ping{++m_last_sequence, m_applied}, {*dead, *m_self}, now, effects);
+    }
+}
+
+void membership_engine::send_indirect_pings(common::steady_time now, membership_effects& effects) {
+    for (const probe& due : m_probes.take_indirect_due(now)) {
+        for (const std::string& host : m_peers.pick(m_settings.indirect_probes, due.host, m_random)) {
+            const member_ref relay = m_table.find(host);
+            send(relay->gossip, indirect_ping{due.sequence, m_applied, due.host}, {}, now, effects);
+        }
+    }
+}
+
+void membership_engine::suspect_failed(common::steady_time now, membership_effects& effects) {
+    for (const probe& failed : m_probes.take_failed(now)) {
+        const member_ref known = m_table.find(failed.host);
+        if (!known || known->state != member_state::alive) {
+            continue;
+        }
+        member suspected = *known;
+        suspected.state = member_state::suspect;
+        apply(std::make_shared<const member>(suspected), now, effects);
+        // The suspected member is told at once: its refutation has to spread before the suspicion ends.
+        send(suspected.gossip, ping{++m_last_sequence, m_applied}, {suspected}, now, effects);
+    }
+}
+
+void membership_engine::declare_dead(common::steady_time now, membership_effects& effects) {
+    for (const std::string& host : m_suspicions.take_due(now)) {
+        const member_ref known = m_table.find(host);
+        if (!known || known->state != member_state::suspect) {
+            continue;
+        }
+        member dead = *known;
+        dead.state = member_state::dead;
+        apply(std::make_shared<const member>(std::move(dead)), now, effects);
+    }
+}
+
+void membership_engine::push_urgent(common::steady_time now, membership_effects& effects) {
+    m_next_push = common::steady_time::max();
+    if (m_queue.has_tokens(now)) {
+        push({}, now, effects);
+    }
+}
+
+void membership_engine::push(const std::vector<member>& mandatory, common::steady_time now,
+                             membership_effects& effects) {
+    const std::size_t fan_out = has_left() ? leave_fan_out : push_fan_out;
+    for (const std::string& host : m_peers.pick(fan_out, {}, m_random)) {
+        send(m_table.find(host)->gossip, progress_report{m_applied}, mandatory, now, effects);
+    }
+}
+
+void membership_engine::report_progress(common::steady_time now, membership_effects& effects) {
+    if (now < m_next_progress) {
+        return;
+    }
+    m_next_progress = now + m_settings.progress_interval;
+    std::vector<std::string> hosts = m_peers.hosts();
+    hosts.push_back(m_self->host);
+    for (const std::string& reader : log_readers(m_self->failure_domain, hosts)) {
+        if (reader == m_self->host) {
+            continue;
+        }
+        send(m_table.find(reader)->gossip, progress_report{m_applied}, {}, now, effects);
+    }
+}
+
+void membership_engine::start_reconciliation(common::steady_time now, membership_effects& effects) {
+    if (now < m_next_reconciliation) {
+        return;
+    }
+    const auto interval = std::chrono::duration_cast<std::chrono::microseconds>(m_settings.sync_interval);
+    m_next_reconciliation = now + interval * 4 / 5 + m_random.jitter(interval * 2 / 5);
+    const bool early = !m_has_whole_table || m_early_reconciliations > 0;
+    if (early) {
+        m_next_reconciliation = now + early_interval / 2 + m_random.jitter(early_interval);
+    }
+    if (m_has_whole_table && m_early_reconciliations > 0) {
+        --m_early_reconciliations;
+    }
+    const bool go_far = ++m_reconciliations % m_settings.sync_other_domain_every == 0;
+    const bool far = m_peers.hosts().empty() || (go_far && !m_distant.hosts().empty());
+    const std::vector<std::string> chosen = (far ? m_distant : m_peers).pick(1, {}, m_random);
+    if (chosen.empty()) {
+        return;
+    }
+    const member_ref peer = m_table.find(chosen.front());
+    effects.push_back(start_sync{peer->host, peer->peer});
+}
+
+void membership_engine::expire(common::steady_time now, membership_effects& /*effects*/) {
+    if (m_targets.expire(now)) {
+        mark_directory_changed(now);
+    }
+    if (now < m_next_expiry) {
+        return;
+    }
+    m_next_expiry = now + expiry_interval;
+    m_floors.expire(now);
+    for (const member_ref& expired : m_table.expire(now)) {
+        std::erase(m_dead, expired->host);
+    }
+    std::erase_if(m_relayed, [&](const auto& item) { return item.second.forget_at <= now; });
+}
+
+void membership_engine::publish_directory(common::steady_time now, membership_effects& effects) {
+    if (now < m_next_directory) {
+        return;
+    }
+    m_next_directory = common::steady_time::max();
+    m_last_directory = now;
+    effects.push_back(directory_changed{});
+}
+
+void membership_engine::send(const common::endpoint& to, datagram_body body, std::vector<member> mandatory,
+                             common::steady_time now, membership_effects& effects) {
+    const auto includes_self = [&] {
+        return std::any_of(mandatory.begin(), mandatory.end(),
+                           [&](const member& m) { return m.host == m_self->host; });
+    };
+    if (now < m_insist_on_self_until && !includes_self()) {
+        mandatory.push_back(*m_self);
+    }
+    datagram value{m_self->host, std::move(body), std::move(mandatory)};
+    const std::size_t used = estimated_size(value);
+    if (used < max_datagram_bytes) {
+        m_queue.take(max_datagram_bytes - used, transmissions(), now, value.members);
+    }
+    effects.push_back(send_datagram{to, std::move(value)});
+}
+
+} // namespace boragehollow::membership
--- /dev/null
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -0,0 +1,275 @@
+#include "network.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehollow::membership::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+bool all_see(network& net, std::size_t live) {
+    for (network::node* observer : net.running()) {
+        if (observer->engine->counts().alive != live) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool all_see_state(network& net, const std::string& host, member_state state) {
+    for (network::node* observer : net.running()) {
+        const member_ref seen = observer->engine->find(host);
+        if (!seen || seen->state != state) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool all_see_target(network& net, const std::string& host, target_state state) {
+    for (network::node* observer : net.running()) {
+        const member_ref seen = observer->engine->find(host);
+        if (!seen || seen->target.state != state) {
+            return false;
+        }
+    }
+    return true;
+}
+
+target_announcement with_state(const member& value, target_state state) {
+    target_announcement announcement = value.target;
+    announcement.state = state;
+    return announcement;
+}
+
+void expect_joined(network& net, std::size_t members) {
+    EXPECT_LT(net.run_until([&] { return all_see(net, members); }, 60s), 60s);
+}
+
+// Guards against members that never learn of each other from one seed.
+TEST(membership_engine, members_of_a_domain_find_each_other_through_one_seed) {
+    network net(1);
+    net.start_domain("a", 50);
+    const auto taken = net.run_until([&] { return all_see(net, 50); }, 30s);
+    EXPECT_LT(taken, 10s);
+    net.run_for(30s);
+    EXPECT_EQ(net.events_of(member_event_kind::suspected), 0U);
+}
+
+// Guards against a dead host that stays listed: the design allows about 4 s until the domain knows.
+TEST(membership_engine, a_dead_member_is_detected) {
+    network net(2);
+    net.start_domain("a", 50);
+    expect_joined(net, 50);
+    net.kill("a-7");
+    const auto first = net.run_until([&] { return net.events_of(member_event_kind::died) > 0; }, 20s);
+    const auto rest = net.run_until([&] { return all_see_state(net, "a-7", member_state::dead); }, 20s);
+    std::printf("domain of 50: first declares dead after %ld ms, all know %ld ms later\n",
+                static_cast<long>(first.count()), static_cast<long>(rest.count()));
+    EXPECT_LT(first + rest, 6s);
+}
+
+// Guards against live members that are declared dead because datagrams are lost.
+TEST(membership_engine, lost_datagrams_declare_no_live_member_dead) {
+    network net(3);
+    net.start_domain("a", 40);
+    expect_joined(net, 40);
+    net.loss = 0.10;
+    net.run_for(300s);
+    EXPECT_EQ(net.events_of(member_event_kind::died), 0U);
+}
+
+// Guards against a suspicion that its subject cannot overrule.
+TEST(membership_engine, a_false_suspicion_is_refuted) {
+    network net(4);
+    net.start_domain("a", 10);
+    expect_joined(net, 10);
+    member accused = net.at("a-3").engine->self();
+    const std::uint64_t before = accused.incarnation;
+    accused.state = member_state::suspect;
+    const datagram rumour{"a-1", progress_report{}, {accused}};
+    net.perform(net.at("a-2"), net.at("a-2").engine->receive(rumour, net.at("a-1").address, net.now()));
+    const auto refuted = [&] {
+        const bool raised = net.at("a-3").engine->self().incarnation > before;
+        return raised && all_see_state(net, "a-3", member_state::alive);
+    };
+    EXPECT_LT(net.run_until(refuted, 10s), 5s);
+    EXPECT_TRUE(same_process(before, net.at("a-3").engine->self().incarnation));
+    EXPECT_EQ(net.events_of(member_event_kind::died), 0U);
+}
+
+// Guards against a paused daemon that, when it resumes, stays dead for the others or takes them for dead.
+TEST(membership_engine, a_paused_member_resumes_without_harm) {
+    network net(5);
+    net.start_domain("a", 20);
+    expect_joined(net, 20);
+    const std::uint64_t before = net.at("a-4").engine->self().incarnation;
+    net.pause("a-4");
+    net.run_for(60s);
+    EXPECT_EQ(net.in_state("a-0", member_state::dead), std::set<std::string>{"a-4"});
+    const std::size_t deaths = net.events_of(member_event_kind::died);
+    net.resume("a-4");
+    EXPECT_LT(net.run_until([&] { return all_see(net, 20); }, 30s), 10s);
+    EXPECT_GT(net.at("a-4").engine->self().incarnation, before);
+    net.run_for(30s);
+    EXPECT_EQ(net.events_of(member_event_kind::died), deaths);
+    EXPECT_TRUE(all_see(net, 20));
+}
+
+// Guards against an old address that survives the host's return.
+TEST(membership_engine, a_host_returns_under_the_same_name_with_another_address) {
+    network net(6);
+    net.start_domain("a", 20);
+    expect_joined(net, 20);
+    net.kill("a-9");
+    net.run_for(1s);
+    const common::endpoint address = net.start("a-9", "a", {net.at("a-0").address}).address;
+    const auto replaced = [&] {
+        for (network::node* observer : net.running()) {
+            const member_ref seen = observer->engine->find("a-9");
+            if (!seen || seen->gossip != address || seen->state != member_state::alive) {
+                return false;
+            }
+        }
+        return true;
+    };
+    EXPECT_LT(net.run_until(replaced, 30s), 10s);
+    net.run_for(30s);
+    EXPECT_TRUE(replaced());
+}
+
+// Guards against a storm of deaths and returns that leaves the tables apart.
+TEST(membership_engine, a_third_of_the_members_dies_and_returns_at_once) {
+    network net(7);
+    net.start_domain("a", 60);
+    expect_joined(net, 60);
+    for (int i = 1; i <= 20; ++i) {
+        net.kill("a-" + std::to_string(i));
+    }
+    const auto down = net.run_until([&] { return all_see(net, 40); }, 60s);
+    for (int i = 1; i <= 20; ++i) {
+        net.start("a-" + std::to_string(i), "a", {net.at("a-0").address});
+    }
+    const auto up = net.run_until([&] { return all_see(net, 60); }, 60s);
+    std::printf("20 of 60: all dead known after %ld ms, all returns known after %ld ms\n",
+                static_cast<long>(down.count()), static_cast<long>(up.count()));
+    EXPECT_LT(down, 15s);
+    EXPECT_LT(up, 15s);
+}
+
+// Guards against a domain that declares the members of another one dead while it cannot reach them.
+TEST(membership_engine, a_cut_between_domains_kills_no_one_and_heals) {
+    network net(8);
+    net.start_domain("a", 20);
+    net.start_domain("b", 20);
+    for (int i = 0; i < 20; ++i) {
+        net.kill("b-" + std::to_string(i));
+        net.start("b-" + std::to_string(i), "b", {net.at("a-0").address});
+    }
+    expect_joined(net, 40);
+    net.cut = [](const network::node& from, const network::node& to) { return from.domain != to.domain; };
+    net.run_for(10s);
+    net.kill("b-3");
+    net.run_for(600s);
+    EXPECT_EQ(net.in_state("b-0", member_state::dead), std::set<std::string>{"b-3"});
+    EXPECT_TRUE(net.in_state("a-0", member_state::dead).empty());
+    EXPECT_TRUE(net.in_state("a-0", member_state::suspect).empty());
+    net.cut = [](const network::node&, const network::node&) { return false; };
+    const auto healed = net.run_until([&] { return all_see_state(net, "b-3", member_state::dead); }, 120s);
+    std::printf("two domains of 20: a death behind the cut is known %ld ms after it heals\n",
+                static_cast<long>(healed.count()));
+    EXPECT_LT(healed, 60s);
+}
+
+// Guards against two halves of one domain that never find together after a cut between them.
+TEST(membership_engine, a_cut_inside_a_domain_heals) {
+    network net(9);
+    net.start_domain("a", 20);
+    expect_joined(net, 20);
+    const auto half = [](const network::node& item) { return item.address.port % 2; };
+    net.cut = [&](const network::node& from, const network::node& to) { return half(from) != half(to); };
+    net.run_for(120s);
+    EXPECT_EQ(net.at("a-0").engine->counts().alive, 10U);
+    net.cut = [](const network::node&, const network::node&) { return false; };
+    EXPECT_LT(net.run_until([&] { return all_see(net, 20); }, 120s), 60s);
+}
+
+std::chrono::milliseconds drain_time(std::size_t members, std::uint64_t seed) {
+    network net(seed);
+    net.start_domain("a", members);
+    expect_joined(net, members);
+    net.run_for(30s);
+    network::node& leaving = net.at("a-5");
+    const auto announcement = with_state(leaving.engine->self(), target_state::draining);
+    net.perform(leaving, leaving.engine->announce_local_target(announcement, net.now()));
+    return net.run_until([&] { return all_see_target(net, "a-5", target_state::draining); }, 30s);
+}
+
+// G7: new work ends within 3 s of the announcement.
+TEST(membership_engine, a_drain_announcement_spreads_within_three_seconds) {
+    for (std::uint64_t seed = 10; seed < 30; ++seed) {
+        EXPECT_LT(drain_time(50, seed), 3s) << "seed " << seed;
+    }
+    std::printf("drain announcement in a domain of 733: %ld ms\n",
+                static_cast<long>(drain_time(733, 30).count()));
+}
+
+TEST(membership_engine, a_leaving_member_is_known_as_left_within_three_seconds) {
+    network net(31);
+    net.start_domain("a", 50);
+    expect_joined(net, 50);
+    network::node& leaving = net.at("a-5");
+    net.perform(leaving, leaving.engine->leave(net.now()));
+    net.kill("a-5");
+    EXPECT_LT(net.run_until([&] { return all_see_state(net, "a-5", member_state::left); }, 10s), 3s);
+    EXPECT_EQ(net.events_of(member_event_kind::died), 0U);
+}
+
+// G1: guards against a floor that is forgotten with the host's entry.
+TEST(membership_engine, version_floors_outlive_the_host) {
+    network net(32);
+    net.start_domain("a", 10);
+    expect_joined(net, 10);
+    net.perform(net.at("a-6"), net.at("a-6").engine->note_local_version({42}, net.now()));
+    net.run_for(30s);
+    net.kill("a-6");
+    net.run_for(std::chrono::hours(2));
+    std::size_t remembering = 0;
+    for (network::node* observer : net.running()) {
+        remembering += observer->engine->floor("a-6") == common::revision{42} ? 1 : 0;
+    }
+    EXPECT_EQ(remembering, 9U);
+    net.run_for(std::chrono::hours(23));
+    EXPECT_EQ(net.at("a-0").engine->floor("a-6"), common::revision{});
+}
+
+// Guards against a wall clock that was set back, which gives the new process the lower incarnation.
+TEST(membership_engine, a_tombstone_with_a_higher_incarnation_is_overruled) {
+    network net(33);
+    net.start_domain("a", 5);
+    expect_joined(net, 5);
+    member old = net.at("a-2").engine->self();
+    old.incarnation += std::uint64_t{5000} << 16U;
+    old.state = member_state::dead;
+    const datagram rumour{"a-1", progress_report{}, {old}};
+    net.perform(net.at("a-3"), net.at("a-3").engine->receive(rumour, net.at("a-1").address, net.now()));
+    EXPECT_LT(net.run_until([&] { return net.at("a-2").engine->self().incarnation > old.incarnation; }, 20s),
+              10s);
+    EXPECT_LT(net.run_until([&] { return all_see(net, 5); }, 20s), 10s);
+    EXPECT_FALSE(same_process(old.incarnation, net.at("a-2").engine->self().incarnation));
+}
+
+// Guards against an announcement that no datagram can carry.
+TEST(membership_engine, refuses_an_announcement_that_exceeds_the_size_budget) {
+    network net(34);
+    network::node& only = net.start("a-0", "a");
+    target_announcement large = only.engine->self().target;
+    large.labels["note"] = std::string(900, 'x');
+    const membership_effects effects = only.engine->announce_local_target(large, net.now());
+    ASSERT_EQ(effects.size(), 1U);
+    EXPECT_EQ(std::get<member_event>(effects.front()).kind, member_event_kind::announcement_refused);
+    EXPECT_TRUE(only.engine->self().target.labels.contains("version"));
+}
+
+} // namespace
+} // namespace boragehollow::membership::testing
--- /dev/null
+++ b/packages/membership/tests/traffic_bench.cpp
@@ -0,0 +1,188 @@
+// Prints the bytes that membership costs a daemon: one domain of 733 daemons in full, the other 14 as one
+// stand-in each that holds all entries of its domain. Not a test: it has no bound to check.
+
+#include "network.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+namespace {
+
+using namespace boragehollow;
+using namespace boragehollow::membership;
+using namespace boragehollow::membership::testing;
+using namespace std::chrono_literals;
+
+constexpr int domains = 15;
+constexpr int hosts_per_domain = 733;
+
+std::string domain_name(int domain) {
+    return "failure-domain-" + std::to_string(domain);
+}
+
+std::string host_name(int domain, int host) {
+    return "host-" + std::to_string(domain) + "-" + std::to_string(host);
+}
+
+member entry(int domain, int host, std::uint64_t incarnation) {
+    const std::string address = "10." + std::to_string(100 + domain) + "." + std::to_string(host / 250) +
+                                "." + std::to_string(host % 250);
+    member value{host_name(domain, host), domain_name(domain), {address, 7000}, {address, 7001}, incarnation};
+    value.target = {"service-" + std::to_string(host % 500), {{"version", "v1"}}, 6, target_state::ready};
+    return value;
+}
+
+class bench {
+public:
+    bench() : m_net(1) {
+        std::vector<member_ref> others;
+        for (int domain = 1; domain < domains; ++domain) {
+            for (int host = 0; host < hosts_per_domain; ++host) {
+                others.push_back(
+                    std::make_shared<const member>(entry(domain, host, std::uint64_t{1} << 56U)));
+            }
+        }
+        for (int host = 0; host < hosts_per_domain; ++host) {
+            m_net.start(host_name(0, host), domain_name(0));
+        }
+        sync_reply everything{{}, {}, others};
+        for (int host = 0; host < hosts_per_domain; ++host) {
+            everything.members.push_back(std::make_shared<const member>(own(host).engine->self()));
+        }
+        for (int domain = 1; domain < domains; ++domain) {
+            network::node& stand_in = m_net.start("stand-in-" + std::to_string(domain), domain_name(domain));
+            stand_in.passive = true;
+            m_stand_ins.push_back(&stand_in);
+        }
+        for (network::node* item : m_net.running()) {
+            item->engine->sync_replied(everything, m_net.now());
+        }
+        m_net.route = [this](const common::endpoint& address) {
+            const int domain = std::stoi(address.address.substr(3, 3)) - 100;
+            return m_stand_ins.at(static_cast<std::size_t>(domain) - 1);
+        };
+        m_net.run_for(120s);
+    }
+
+    void measure(const char* title, std::chrono::seconds span, double changes_per_second) {
+        m_net.reset_bytes();
+        const std::clock_t cpu_start = std::clock();
+        double due = 0;
+        for (std::chrono::seconds passed{0}; passed < span; ++passed) {
+            due += changes_per_second;
+            for (; due >= 1; --due) {
+                restart_one();
+            }
+            m_net.run_for(1s);
+        }
+        report(title, span, static_cast<double>(std::clock() - cpu_start) / CLOCKS_PER_SEC);
+    }
+
+    void storm() {
+        m_net.reset_bytes();
+        for (int host = 0; host < hosts_per_domain / 3; ++host) {
+            m_net.kill(host_name(0, host));
+        }
+        const auto down = m_net.run_until([&] { return spread(member_state::dead); }, 300s);
+        report("a third dies", std::chrono::ceil<std::chrono::seconds>(down), 0);
+        m_net.reset_bytes();
+        for (int host = 0; host < hosts_per_domain / 3; ++host) {
+            m_net.start(host_name(0, host), domain_name(0), {own(hosts_per_domain - 1).address});
+        }
+        const auto up = m_net.run_until([&] { return spread(member_state::alive); }, 300s);
+        report("a third returns", std::chrono::ceil<std::chrono::seconds>(up), 0);
+        std::printf("storm: all know the deaths after %ld ms, the returns after %ld ms\n",
+                    static_cast<long>(down.count()), static_cast<long>(up.count()));
+    }
+
+private:
+    network::node& own(int host) { return m_net.at(host_name(0, host)); }
+
+    /// Whether every running daemon sees the hosts of the storm in the state `state`.
+    bool spread(member_state state) {
+        for (int observer = 0; observer < hosts_per_domain; ++observer) {
+            if (!own(observer).running) {
+                continue;
+            }
+            for (int host = 0; host < hosts_per_domain / 3; ++host) {
+                const member_ref seen = own(observer).engine->find(host_name(0, host));
+                if (!seen || seen->state != state) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /// A planned restart: drain, leave and return, of a random host of the mesh.
+    void restart_one() {
+        const int domain = static_cast<int>(m_random.index(domains));
+        const int host = static_cast<int>(m_random.index(hosts_per_domain));
+        if (domain == 0) {
+            network::node& leaving = own(host);
+            target_announcement announcement = leaving.engine->self().target;
+            announcement.state = target_state::draining;
+            m_net.perform(leaving, leaving.engine->announce_local_target(announcement, m_net.now()));
+            m_net.run_for(5s);
+            m_net.perform(leaving, leaving.engine->leave(m_net.now()));
+            m_net.kill(leaving.host);
+            m_net.start(host_name(0, host), domain_name(0), {own((host + 1) % hosts_per_domain).address});
+            return;
+        }
+        member changed = entry(domain, host, (std::uint64_t{1} << 56U) + (++m_restarts << 16U));
+        for (int sequence = 1; sequence <= 2; ++sequence) {
+            changed.target_sequence = static_cast<std::uint64_t>(sequence);
+            const datagram news{changed.host, progress_report{}, {changed}};
+            network::node& stand_in = *m_stand_ins.at(static_cast<std::size_t>(domain) - 1);
+            m_net.perform(stand_in, stand_in.engine->receive(news, changed.gossip, m_net.now()));
+        }
+    }
+
+    void report(const char* title, std::chrono::seconds span, double cpu_seconds) {
+        std::vector<double> sent;
+        std::vector<double> received;
+        double datagrams = 0;
+        double reconciliation = 0;
+        const double seconds = static_cast<double>(span.count());
+        for (int host = 0; host < hosts_per_domain; ++host) {
+            const network::node& item = own(host);
+            if (!item.running) {
+                continue;
+            }
+            sent.push_back(static_cast<double>(item.datagram_bytes + item.sync_bytes) / seconds);
+            received.push_back(static_cast<double>(item.received_bytes) / seconds);
+            datagrams += static_cast<double>(item.datagram_bytes) / seconds;
+            reconciliation += static_cast<double>(item.sync_bytes) / seconds;
+        }
+        std::sort(sent.begin(), sent.end());
+        std::sort(received.begin(), received.end());
+        const auto count = static_cast<double>(sent.size());
+        const auto at = [&](const std::vector<double>& values, double share) {
+            return values[static_cast<std::size_t>(share * (count - 1))];
+        };
+        std::printf(
+            "%-34s %4.0f s: sent %5.0f B/s on average (datagrams %5.0f, reconciliation %5.0f), median "
+            "%5.0f, highest %5.0f; received: median %5.0f, highest %5.0f; processor %.3f%% of a core\n",
+            title, seconds, (datagrams + reconciliation) / count, datagrams / count, reconciliation / count,
+            at(sent, 0.5), sent.back(), at(received, 0.5), received.back(),
+            100 * cpu_seconds / seconds / count);
+        std::fflush(stdout);
+    }
+
+    network m_net;
+    common::random_source m_random{2};
+    std::uint64_t m_restarts = 0;
+    std::vector<network::node*> m_stand_ins;
+};
+
+} // namespace
+
+int main() {
+    bench run;
+    run.measure("idle", 60s, 0);
+    run.measure("963 restarts a day in the mesh", 300s, 963.0 / 86400);
+    run.measure("963 restarts an hour in the mesh", 120s, 963.0 / 3600);
+    run.storm();
+    return 0;
+}
