Implement target selection

Cause: the dispatch duty needs a target for every attempt, and targets slow down or fail without notice.

--- a/packages/admission/include/boragehollow/admission/fair_queue.hpp
+++ b/packages/admission/include/boragehollow/admission/fair_queue.hpp
@@ -48,7 +48,7 @@
     using line = std::deque<waiting_call>;
 
     const std::string& turn_of(const std::string& caller) const;
-    waiting_call take(const std::string& turn, line::iterator position);
+    waiting_call take(const std::string& turn, const line::const_iterator& position);
 
     bool m_fair = true;
     std::size_t m_size = 0;
--- a/packages/admission/src/fair_queue.cpp
+++ b/packages/admission/src/fair_queue.cpp
@@ -41,10 +41,11 @@
     ++m_size;
 }
 
-waiting_call fair_queue::take(const std::string& turn, line::iterator position) {
+waiting_call fair_queue::take(const std::string& turn, const line::const_iterator& position) {
     line& own = m_lines[turn];
-    waiting_call call = std::move(*position);
-    own.erase(position);
+    const auto taken = own.begin() + (position - own.cbegin());
+    waiting_call call = std::move(*taken);
+    own.erase(taken);
     --m_size;
     m_turn_of_ticket.erase(call.request.id.value);
     m_expiries.erase({call.expires, call.request.id.value});
--- a/packages/admission/tests/admission_controller_test.cpp
+++ b/packages/admission/tests/admission_controller_test.cpp
@@ -3,8 +3,6 @@
 namespace boragehollow::admission {
 namespace {
 
-using config::work_class;
-
 TEST_F(admission_fixture, a_call_id_never_begins_twice) {
     const ticket first = submit(request("a"));
     submit(request("a"));
@@ -197,6 +195,7 @@
 // Guards against a limit that falls below the running long calls and so blocks the free reserved slots.
 TEST_F(admission_fixture, a_lowered_limit_does_not_take_the_reserved_slots) {
     std::vector<ticket> longs;
+    longs.reserve(4);
     for (int i = 0; i < 4; ++i) {
         longs.push_back(submit_long("long" + std::to_string(i)));
     }
@@ -214,6 +213,7 @@
 
 TEST_F(admission_fixture, a_short_call_past_the_threshold_counts_as_long) {
     std::vector<ticket> calls;
+    calls.reserve(4);
     for (int i = 0; i < 4; ++i) {
         calls.push_back(submit(request("slow" + std::to_string(i))));
     }
--- a/packages/balancing/include/boragehollow/balancing/attempt.hpp
+++ b/packages/balancing/include/boragehollow/balancing/attempt.hpp
@@ -60,6 +60,7 @@
     not_repeatable,       ///< An earlier attempt of a call that is not idempotent may have run.
     placement_unsettled,  ///< All targets are too young to hold an idempotency key.
     placement_lost,       ///< The target that holds the idempotency key is lost: the call may have run.
+    placement_moving,     ///< The key moves to a target that settled lately: the call may have run elsewhere.
     too_many_outstanding, ///< The balancer's own table of attempts is full.
 };
 
--- a/packages/balancing/include/boragehollow/balancing/balancer.hpp
+++ b/packages/balancing/include/boragehollow/balancing/balancer.hpp
@@ -75,15 +75,18 @@
     struct attempt_record {
         std::string service;
         std::string host;
-        attempt_kind kind = attempt_kind::first;
         config::work_class work = config::work_class::short_work;
         bool trial = false;
     };
 
+    struct service_state {
+        bool known = false; ///< Has a policy. Targets can be known before it, and stay known after it.
+        std::unique_ptr<service_balancer> balancing;
+    };
+
     balancer_settings m_settings;
     common::random_source m_random;
-    std::unordered_map<std::string, std::unique_ptr<service_balancer>> m_services;
-    std::unordered_map<std::string, std::vector<target_view>> m_targets_without_policy;
+    std::unordered_map<std::string, service_state> m_services;
     std::unordered_map<std::uint64_t, attempt_record> m_attempts;
     std::uint64_t m_next_attempt = 1;
 };
--- /dev/null
+++ b/packages/balancing/src/target_record.cpp
@@ -0,0 +1,87 @@
+#include "boragehollow/balancing/target_record.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragehollow::balancing {
+
+namespace {
+
+// Demand changes within seconds, so a report of this age says nothing any more.
+constexpr std::chrono::duration<double> report_lifetime{3.0};
+// A refusal says that the queue was full; queues of short work empty within a fraction of a second.
+constexpr double refusal_fade_seconds = 0.3;
+constexpr double most_refusals = 8.0;
+
+double per_slot(double calls, std::uint32_t slots) {
+    return calls / std::max(1U, slots);
+}
+
+} // namespace
+
+void target_record::update(const target_view& newer) {
+    const bool restarted = newer.first_seen > view.first_seen;
+    // A piggybacked load is often newer than the announced one.
+    std::optional<load_report> newest = view.load;
+    if (newer.load && (!newest || newer.load->received > newest->received)) {
+        newest = newer.load;
+    }
+    view = newer;
+    if (!restarted) {
+        view.load = newest;
+        return;
+    }
+    peak = peak_estimate();
+    smoothed.reset();
+    health = target_health();
+    refusals = 0;
+}
+
+void target_record::note_refusal(steady_time now) {
+    const double seconds = std::chrono::duration<double>(now - last_refusal).count();
+    refusals = std::min(most_refusals, refusals * std::exp(-seconds / refusal_fade_seconds) + 1.0);
+    last_refusal = now;
+}
+
+void target_record::note_load(const piggybacked_load& load, steady_time now) {
+    view.load = load_report{load.in_use, load.queued, now};
+    if (load.slots > 0) {
+        view.slots = load.slots;
+    }
+}
+
+double target_record::report_weight(steady_time now) const {
+    if (!view.load) {
+        return 0;
+    }
+    const std::chrono::duration<double> age = now - view.load->received;
+    return std::clamp(1.0 - age / report_lifetime, 0.0, 1.0);
+}
+
+double target_record::estimated_use(steady_time now) const {
+    const double weight = report_weight(now);
+    const double own = outstanding;
+    if (weight == 0) {
+        return own;
+    }
+    const double reported = static_cast<double>(view.load->in_use) + view.load->queued;
+    return std::max(own, reported * weight);
+}
+
+double target_record::reluctance(steady_time now) const {
+    double factor = 1.0 + health.consecutive_failures();
+    const double weight = report_weight(now);
+    if (weight > 0) {
+        // Bounded to 3, so that a false report cannot outweigh what this daemon measures itself.
+        const double busy = std::min(1.0, per_slot(view.load->in_use, view.slots));
+        const double waiting = std::min(1.0, per_slot(view.load->queued, view.slots));
+        factor *= 1.0 + weight * (busy + waiting);
+    }
+    if (refusals > 0) {
+        const double seconds = std::chrono::duration<double>(now - last_refusal).count();
+        factor *= 1.0 + refusals * std::exp(-seconds / refusal_fade_seconds);
+    }
+    return factor;
+}
+
+} // namespace boragehollow::balancing
--- /dev/null
+++ b/packages/balancing/tests/latency_estimate_test.cpp
@@ -0,0 +1,43 @@
+#include "boragehollow/balancing/latency_estimate.hpp"
+
+#include <gtest/gtest.h>
+
+namespace boragehollow::balancing {
+namespace {
+
+TEST(peak_estimate, rises_at_once_and_falls_slowly) {
+    peak_estimate estimate;
+    const milliseconds decay(5'000);
+    steady_time now;
+    estimate.add(milliseconds(5), decay, now);
+    estimate.add(milliseconds(50), decay, now);
+    EXPECT_DOUBLE_EQ(estimate.value_us(5'000, decay, now), 50'000);
+    now += milliseconds(1'000);
+    estimate.add(milliseconds(5), decay, now);
+    EXPECT_GT(estimate.value_us(5'000, decay, now), 35'000);
+    EXPECT_LT(estimate.value_us(5'000, decay, now + milliseconds(20'000)), 6'000);
+}
+
+// Guards against a target that fails fast and so looks better than the others.
+TEST(peak_estimate, a_fast_failure_does_not_lower_the_estimate) {
+    peak_estimate estimate;
+    estimate.add(milliseconds(5), milliseconds(5'000), steady_time());
+    estimate.raise(microseconds(100), milliseconds(5'000), steady_time(milliseconds(1)));
+    EXPECT_GT(estimate.value_us(1, milliseconds(5'000), steady_time(milliseconds(1))), 4'900);
+}
+
+TEST(latency_quantiles, follows_a_change_of_latency) {
+    latency_quantiles quantiles;
+    EXPECT_EQ(quantiles.quantile(0.95), microseconds(0));
+    for (int i = 0; i < 5'000; ++i) {
+        quantiles.add(milliseconds(2));
+    }
+    EXPECT_NEAR(static_cast<double>(quantiles.quantile(0.95).count()), 2'200, 300);
+    for (int i = 0; i < 5'000; ++i) {
+        quantiles.add(milliseconds(30));
+    }
+    EXPECT_NEAR(static_cast<double>(quantiles.quantile(0.5).count()), 32'000, 4'000);
+}
+
+} // namespace
+} // namespace boragehollow::balancing
