--- a/packages/peer/src/call_exchange.cpp
+++ b/packages/peer/src/call_exchange.cpp
@@ -119,7 +119,7 @@
 }
 
 attempt_index call_exchange::start(const std::shared_ptr<grpc::Channel>& channel,
-                                   const peer_identity& identity, call_request_part first,
+                                   const peer_identity& identity, const call_request_part& first,
                                    common::wall_time deadline) {
     const attempt_index index = m_state->attempts.size();
     m_state->attempts.push_back(std::make_unique<attempt_stream>());
--- a/packages/web/src/http_server.cpp
+++ b/packages/web/src/http_server.cpp
@@ -1,13 +1,14 @@
 #include "boragehollow/web/http_server.hpp"
 
 #include "boragehollow/common/scope_guard.hpp"
+#include "boragehollow/web/http_client.hpp"
 
 #include <civetweb.h>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <mutex>
+#include <thread>
 
 namespace boragehollow::web {
 
@@ -16,6 +17,8 @@
 /// An unread body up to this size is discarded to keep the connection; past it the connection is closed.
 constexpr std::uint64_t max_discarded_body = 65'536;
 
+constexpr std::chrono::milliseconds stop_wake_interval{20};
+
 std::optional<std::uint64_t> parse_length(std::string_view text) {
     std::uint64_t value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -290,9 +293,19 @@
 }
 
 http_server::~http_server() {
-    if (m_context != nullptr) {
-        mg_stop(m_context);
+    if (m_context == nullptr) {
+        return;
     }
+    // CivetWeb's accept loop looks at its stop flag only after a new connection or every 2 s.
+    std::atomic<bool> stopped{false};
+    const std::jthread waker([&] {
+        while (!stopped) {
+            std::this_thread::sleep_for(stop_wake_interval);
+            const auto connection = client_connection::connect(m_local);
+        }
+    });
+    mg_stop(m_context);
+    stopped = true;
 }
 
 int http_server::serve(mg_connection* connection, void* server) {
