Collect progress reports on their way to the log readers

Cause: a log reader of 733 members received 25 KB/s of progress reports, four times the budget for all control. A test with 10% of the datagrams lost also showed a live member declared dead: a member that had only heard of the suspicion missed the refutation. Change: members of a domain above 64 report to about sqrt(n) collectors, which hand news on after 1 s as lists of host hashes. The member whose probe failed keeps pinging the suspected one, and the others wait 1 s longer than it before they declare it dead. Buckets are grouped by failure domain, so that many changes in one domain leave the others' buckets equal. The burst of the gossip queue is 16 KB instead of 64 KB.

--- a/packages/membership/include/boragehollow/membership/datagram.hpp
+++ b/packages/membership/include/boragehollow/membership/datagram.hpp
@@ -35,9 +35,18 @@
     bool operator==(const indirect_ping&) const = default;
 };
 
+/// Hosts, by `common::stable_hash` of their names, that have applied a version.
+struct collected_progress {
+    common::revision applied;
+    std::vector<std::uint64_t> host_hashes;
+
+    bool operator==(const collected_progress&) const = default;
+};
+
 /// Reports the applied version; without an answer. Also carries urgent member entries between periods.
 struct progress_report {
     common::revision applied;
+    std::vector<collected_progress> collected{}; ///< From a collector to a log reader.
 
     bool operator==(const progress_report&) const = default;
 };
--- a/packages/membership/include/boragehollow/membership/failure_detector.hpp
+++ b/packages/membership/include/boragehollow/membership/failure_detector.hpp
@@ -61,15 +61,24 @@
 /// Suspected members and when each of them counts as dead.
 class suspicion_timers {
 public:
-    void start(const std::string& host, common::steady_time dead_at) { m_dead_at.try_emplace(host, dead_at); }
-    void cancel(const std::string& host) { m_dead_at.erase(host); }
-    std::vector<std::string> take_due(common::steady_time now);
+    /// Does nothing when the host is already suspected.
+    void start(const std::string& host, common::steady_time dead_at);
+    /// As `start`, for the daemon whose own probe failed: it goes on pinging the host at `ping_at`.
+    void start_own(const std::string& host, common::steady_time dead_at, common::steady_time ping_at);
+    void cancel(const std::string& host) { m_suspicions.erase(host); }
+    std::vector<std::string> take_dead(common::steady_time now);
+    std::vector<std::string> take_pings(common::steady_time now, std::chrono::milliseconds repeat);
     common::steady_time next_due() const;
     /// Used after this daemon itself was paused: the refutations may still be waiting in its socket.
     void postpone(common::steady_time at_least);
 
 private:
-    std::map<std::string, common::steady_time> m_dead_at;
+    struct suspicion {
+        common::steady_time dead_at{};
+        common::steady_time ping_at = common::steady_time::max();
+    };
+
+    std::map<std::string, suspicion> m_suspicions;
 };
 
 } // namespace boragehollow::membership
--- a/packages/membership/include/boragehollow/membership/member_table.hpp
+++ b/packages/membership/include/boragehollow/membership/member_table.hpp
@@ -54,7 +54,9 @@
 
     const std::array<std::uint64_t, bucket_count>& bucket_hashes() const { return m_bucket_hashes; }
     std::vector<member_ref> entries_of_bucket(std::size_t bucket) const;
-    static std::size_t bucket_of(std::string_view host);
+    /// The entries of one failure domain share a few buckets, so that many changes in one domain leave the
+    /// buckets of the others equal.
+    static std::size_t bucket_of(const member& value);
     static std::size_t bucket_of_entry(std::uint64_t hash);
 
     /// Removes the tombstones whose time is over and returns them.
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -6,6 +6,7 @@
 #include "boragehollow/membership/failure_detector.hpp"
 #include "boragehollow/membership/gossip_queue.hpp"
 #include "boragehollow/membership/member_table.hpp"
+#include "boragehollow/membership/progress_collector.hpp"
 #include "boragehollow/membership/synchronization.hpp"
 #include "boragehollow/membership/target_directory.hpp"
 #include "boragehollow/membership/target_view.hpp"
@@ -18,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -86,6 +88,9 @@
     std::chrono::milliseconds period{500};
     std::chrono::milliseconds ack_timeout{200};
     std::chrono::milliseconds suspicion{2000};
+    /// Members that only heard of a suspicion wait longer than the one whose probe failed. That one keeps
+    /// pinging the suspected member, so a refutation that gets lost on its way to the others kills no one.
+    std::chrono::milliseconds hearsay_grace{1000};
     std::size_t indirect_probes = 3;
     std::chrono::milliseconds sync_interval{10000};
     std::size_t sync_other_domain_every = 4; ///< One reconciliation in so many goes to another domain.
@@ -94,7 +99,7 @@
     std::chrono::milliseconds lost_target_retention{std::chrono::minutes(2)};
     /// Rate and burst of piggybacked entries; a storm of changes beyond them is left to the reconciliation.
     std::size_t gossip_bytes_per_second = 1200;
-    std::size_t gossip_burst_bytes = 64 * 1024;
+    std::size_t gossip_burst_bytes = 16 * 1024;
 };
 
 class membership_engine {
@@ -138,6 +143,12 @@
         common::steady_time forget_at{};
     };
 
+    struct domain_roles {
+        std::vector<std::string> readers;
+        std::vector<std::string> collectors;
+        std::unordered_map<std::uint64_t, std::string> host_by_hash;
+    };
+
     // membership_engine.cpp: messages and the table.
     void apply(const member_ref& received, common::steady_time now, membership_effects& effects);
     void apply_change(const merge_result& change, common::steady_time now, membership_effects& effects);
@@ -150,6 +161,7 @@
                    membership_effects& effects);
     void take_ack(const datagram& received, const ack& answer, common::steady_time now,
                   membership_effects& effects);
+    void take_report(const datagram& received, const progress_report& report, common::steady_time now);
     void apply_all(const std::vector<member_ref>& received, bool gossip, common::steady_time now,
                    membership_effects& effects);
     common::steady_time first_seen_of(const member& value, common::steady_time now) const;
@@ -162,10 +174,12 @@
     void retry_dead_member(common::steady_time now, membership_effects& effects);
     void send_indirect_pings(common::steady_time now, membership_effects& effects);
     void suspect_failed(common::steady_time now, membership_effects& effects);
+    void ping_suspected(common::steady_time now, membership_effects& effects);
     void declare_dead(common::steady_time now, membership_effects& effects);
     void push_urgent(common::steady_time now, membership_effects& effects);
     void push(const std::vector<member>& mandatory, common::steady_time now, membership_effects& effects);
     void report_progress(common::steady_time now, membership_effects& effects);
+    void forward_collected(common::steady_time now, membership_effects& effects);
     void start_reconciliation(common::steady_time now, membership_effects& effects);
     void expire(common::steady_time now, membership_effects& effects);
     void publish_directory(common::steady_time now, membership_effects& effects);
@@ -173,6 +187,8 @@
     /// Builds a datagram with `mandatory` entries first and queued ones in the remaining room.
     void send(const common::endpoint& to, datagram_body body, std::vector<member> mandatory,
               common::steady_time now, membership_effects& effects);
+    /// Roles in the own domain; computed again after the live members changed.
+    const domain_roles& roles();
     void mark_directory_changed(common::steady_time now);
     std::size_t transmissions() const;
     bool is_own_domain(const member& value) const { return value.failure_domain == m_self->failure_domain; }
@@ -188,6 +204,8 @@
     member_table m_table;
     target_view m_targets;
     version_floors m_floors;
+    progress_collector m_collector;
+    std::optional<domain_roles> m_roles;
     gossip_queue m_queue;
     probe_order m_peers;             ///< Live and suspected members of the own domain, without self.
     probe_order m_distant;           ///< The same of all other domains.
--- a/packages/membership/src/datagram.cpp
+++ b/packages/membership/src/datagram.cpp
@@ -7,6 +7,7 @@
 // Field headers, varints of at most 10 bytes, and length prefixes of nested messages, rounded up.
 constexpr std::size_t member_overhead = 44;
 constexpr std::size_t endpoint_overhead = 8;
+constexpr std::size_t group_overhead = 20;
 constexpr std::size_t label_overhead = 8;
 constexpr std::size_t body_overhead = 32;
 // Protocol number, hybrid timestamp and a mesh name of 64 bytes.
@@ -19,7 +20,13 @@
     if (const auto* request = std::get_if<indirect_ping>(&body)) {
         return body_overhead + request->probe_host.size();
     }
-    return body_overhead;
+    std::size_t size = body_overhead;
+    if (const auto* report = std::get_if<progress_report>(&body)) {
+        for (const collected_progress& group : report->collected) {
+            size += group_overhead + sizeof(std::uint64_t) * group.host_hashes.size();
+        }
+    }
+    return size;
 }
 
 } // namespace
--- a/packages/membership/src/failure_detector.cpp
+++ b/packages/membership/src/failure_detector.cpp
@@ -89,30 +89,51 @@
     return due;
 }
 
-std::vector<std::string> suspicion_timers::take_due(common::steady_time now) {
+void suspicion_timers::start(const std::string& host, common::steady_time dead_at) {
+    m_suspicions.try_emplace(host, suspicion{dead_at});
+}
+
+void suspicion_timers::start_own(const std::string& host, common::steady_time dead_at,
+                                 common::steady_time ping_at) {
+    m_suspicions[host] = {dead_at, ping_at};
+}
+
+std::vector<std::string> suspicion_timers::take_dead(common::steady_time now) {
+    std::vector<std::string> dead;
+    for (const auto& [host, open] : m_suspicions) {
+        if (open.dead_at <= now) {
+            dead.push_back(host);
+        }
+    }
+    for (const std::string& host : dead) {
+        m_suspicions.erase(host);
+    }
+    return dead;
+}
+
+std::vector<std::string> suspicion_timers::take_pings(common::steady_time now,
+                                                      std::chrono::milliseconds repeat) {
     std::vector<std::string> due;
-    for (const auto& [host, dead_at] : m_dead_at) {
-        if (dead_at <= now) {
+    for (auto& [host, open] : m_suspicions) {
+        if (open.ping_at <= now) {
+            open.ping_at = now + repeat;
             due.push_back(host);
         }
     }
-    for (const std::string& host : due) {
-        m_dead_at.erase(host);
-    }
     return due;
 }
 
 common::steady_time suspicion_timers::next_due() const {
     common::steady_time due = common::steady_time::max();
-    for (const auto& [host, dead_at] : m_dead_at) {
-        due = std::min(due, dead_at);
+    for (const auto& [host, open] : m_suspicions) {
+        due = std::min({due, open.dead_at, open.ping_at});
     }
     return due;
 }
 
 void suspicion_timers::postpone(common::steady_time at_least) {
-    for (auto& [host, dead_at] : m_dead_at) {
-        dead_at = std::max(dead_at, at_least);
+    for (auto& [host, open] : m_suspicions) {
+        open.dead_at = std::max(open.dead_at, at_least);
     }
 }
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -30,12 +30,15 @@
         return 0;
     }
     const std::uint64_t seed = value.incarnation * golden_ratio + value.target_sequence;
-    const std::uint64_t bucket = member_table::bucket_of(value.host);
+    const std::uint64_t bucket = member_table::bucket_of(value);
     return bucket << hash_bits | common::stable_hash(value.host, seed) >> bucket_bits;
 }
 
-std::size_t member_table::bucket_of(std::string_view host) {
-    return common::stable_hash(host) >> hash_bits;
+std::size_t member_table::bucket_of(const member& value) {
+    constexpr std::size_t buckets_per_domain = 4;
+    constexpr std::size_t domain_groups = bucket_count / buckets_per_domain;
+    const std::size_t group = common::stable_hash(value.failure_domain) % domain_groups;
+    return group * buckets_per_domain + common::stable_hash(value.host) % buckets_per_domain;
 }
 
 std::size_t member_table::bucket_of_entry(std::uint64_t hash) {
@@ -45,11 +48,10 @@
 merge_result member_table::merge(member_ref received, common::steady_time now) {
     const auto [position, unknown] = m_entries.try_emplace(received->host);
     entry& known = position->second;
-    const std::size_t bucket = bucket_of(received->host);
     merge_result result;
     result.before = known.value;
     if (unknown) {
-        m_hosts_by_bucket[bucket].push_back(received->host);
+        m_hosts_by_bucket[bucket_of(*received)].push_back(received->host);
         result.outcome = merge_outcome::changed;
         result.after = std::move(received);
     } else {
@@ -64,8 +66,14 @@
         result.outcome = as_received ? merge_outcome::changed : merge_outcome::combined;
         result.after = as_received ? std::move(received) : std::make_shared<const member>(joined);
     }
+    const std::size_t bucket = bucket_of(*result.after);
     if (result.before) {
-        m_bucket_hashes[bucket] ^= entry_hash(*result.before);
+        const std::size_t bucket_before = bucket_of(*result.before);
+        m_bucket_hashes[bucket_before] ^= entry_hash(*result.before);
+        if (bucket_before != bucket) {
+            std::erase(m_hosts_by_bucket[bucket_before], result.before->host);
+            m_hosts_by_bucket[bucket].push_back(result.before->host);
+        }
     }
     m_bucket_hashes[bucket] ^= entry_hash(*result.after);
     known.value = result.after;
@@ -119,7 +127,7 @@
         }
     }
     for (const member_ref& value : expired) {
-        std::erase(m_hosts_by_bucket[bucket_of(value->host)], value->host);
+        std::erase(m_hosts_by_bucket[bucket_of(*value)], value->host);
         m_entries.erase(value->host);
     }
     return expired;
--- a/packages/membership/src/membership_engine.cpp
+++ b/packages/membership/src/membership_engine.cpp
@@ -69,8 +69,8 @@
                                      common::steady_time now)
     : m_self(std::make_shared<const member>(std::move(self))), m_seeds(std::move(seeds)),
       m_settings(settings), m_random(random), m_started(now), m_targets(settings.lost_target_retention),
-      m_queue(settings.gossip_bytes_per_second, settings.gossip_burst_bytes, now), m_last_tick(now),
-      m_next_probe(now + m_random.jitter(settings.period)),
+      m_collector(now), m_queue(settings.gossip_bytes_per_second, settings.gossip_burst_bytes, now),
+      m_last_tick(now), m_next_probe(now + m_random.jitter(settings.period)),
       m_next_reconciliation(now + m_random.jitter(std::chrono::seconds(1))),
       m_next_progress(now + m_random.jitter(settings.progress_interval)),
       m_next_expiry(now + std::chrono::minutes(1)), m_last_directory(now - std::chrono::hours(1)),
@@ -105,7 +105,10 @@
                        heard(request.applied);
                        probe_for(request, from, now, effects);
                    },
-                   [&](const progress_report& report) { heard(report.applied); },
+                   [&](const progress_report& report) {
+                       heard(report.applied);
+                       take_report(received, report, now);
+                   },
                },
                received.body);
     return effects;
@@ -152,6 +155,26 @@
     send(relay.requester, ack{relay.requester_sequence, m_applied, relay.host}, {}, now, effects);
 }
 
+void membership_engine::take_report(const datagram& received, const progress_report& report,
+                                    common::steady_time now) {
+    const member_ref sender = m_table.find(received.from_host);
+    if (!sender || !is_own_domain(*sender)) {
+        return;
+    }
+    const domain_roles& current = roles();
+    if (!current.collectors.empty() && collector_of(received.from_host, current.collectors) == m_self->host) {
+        m_collector.heard(received.from_host, report.applied, now);
+    }
+    for (const collected_progress& group : report.collected) {
+        for (const std::uint64_t hash : group.host_hashes) {
+            const auto host = current.host_by_hash.find(hash);
+            if (host != current.host_by_hash.end()) {
+                m_floors.heard(host->second, group.applied, now);
+            }
+        }
+    }
+}
+
 void membership_engine::apply(const member_ref& received, common::steady_time now,
                               membership_effects& effects) {
     if (received->host == m_self->host) {
@@ -195,8 +218,11 @@
     const bool was_listed = change.before && !is_tombstone(*change.before) && !moved;
     if (is_tombstone(after)) {
         listed.remove(after.host);
+        m_collector.forget(after.host);
+        m_roles.reset();
     } else if (!was_listed) {
         listed.add(after.host, m_random);
+        m_roles.reset();
     }
     m_suspicions.cancel(after.host);
     std::erase(m_dead, after.host);
@@ -204,7 +230,7 @@
         return;
     }
     if (after.state == member_state::suspect) {
-        m_suspicions.start(after.host, now + m_settings.suspicion);
+        m_suspicions.start(after.host, now + m_settings.suspicion + m_settings.hearsay_grace);
     }
     if (after.state == member_state::dead) {
         m_dead.push_back(after.host);
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -1,4 +1,6 @@
 #include "boragehollow/membership/membership_engine.hpp"
+
+#include "boragehollow/common/rendezvous.hpp"
 #include "boragehollow/membership/roles.hpp"
 
 #include <algorithm>
@@ -27,8 +29,8 @@
         return std::min(m_next_directory, m_next_expiry);
     }
     return std::min({m_next_probe, m_next_reconciliation, m_next_progress, m_next_expiry, m_next_push,
-                     m_next_directory, m_probes.next_due(), m_suspicions.next_due(),
-                     m_targets.next_expiry()});
+                     m_next_directory, m_probes.next_due(), m_suspicions.next_due(), m_targets.next_expiry(),
+                     m_collector.next_due()});
 }
 
 membership_effects membership_engine::tick(common::steady_time now) {
@@ -37,9 +39,11 @@
         notice_own_pause(now);
         send_indirect_pings(now, effects);
         suspect_failed(now, effects);
+        ping_suspected(now, effects);
         declare_dead(now, effects);
         probe_next(now, effects);
         report_progress(now, effects);
+        forward_collected(now, effects);
         start_reconciliation(now, effects);
         if (now >= m_next_push) {
             push_urgent(now, effects);
@@ -127,14 +131,22 @@
         }
         member suspected = *known;
         suspected.state = member_state::suspect;
-        apply(std::make_shared<const member>(suspected), now, effects);
+        apply(std::make_shared<const member>(std::move(suspected)), now, effects);
         // The suspected member is told at once: its refutation has to spread before the suspicion ends.
-        send(suspected.gossip, ping{++m_last_sequence, m_applied}, {suspected}, now, effects);
+        m_suspicions.start_own(failed.host, now + m_settings.suspicion, now);
+    }
+}
+
+void membership_engine::ping_suspected(common::steady_time now, membership_effects& effects) {
+    for (const std::string& host : m_suspicions.take_pings(now, m_settings.period)) {
+        if (const member_ref suspected = m_table.find(host)) {
+            send(suspected->gossip, ping{++m_last_sequence, m_applied}, {*suspected}, now, effects);
+        }
     }
 }
 
 void membership_engine::declare_dead(common::steady_time now, membership_effects& effects) {
-    for (const std::string& host : m_suspicions.take_due(now)) {
+    for (const std::string& host : m_suspicions.take_dead(now)) {
         const member_ref known = m_table.find(host);
         if (!known || known->state != member_state::suspect) {
             continue;
@@ -165,14 +177,44 @@
         return;
     }
     m_next_progress = now + m_settings.progress_interval;
-    std::vector<std::string> hosts = m_peers.hosts();
-    hosts.push_back(m_self->host);
-    for (const std::string& reader : log_readers(m_self->failure_domain, hosts)) {
-        if (reader == m_self->host) {
+    const domain_roles& current = roles();
+    std::vector<std::string> receivers = current.readers;
+    if (!current.collectors.empty()) {
+        receivers = {collector_of(m_self->host, current.collectors)};
+    }
+    for (const std::string& receiver : receivers) {
+        if (receiver == m_self->host) {
+            m_collector.heard(receiver, m_applied, now);
             continue;
         }
-        send(m_table.find(reader)->gossip, progress_report{m_applied}, {}, now, effects);
+        send(m_table.find(receiver)->gossip, progress_report{m_applied}, {}, now, effects);
+    }
+}
+
+void membership_engine::forward_collected(common::steady_time now, membership_effects& effects) {
+    for (const std::vector<collected_progress>& list : m_collector.take_due(now)) {
+        for (const std::string& reader : roles().readers) {
+            if (reader != m_self->host) {
+                send(m_table.find(reader)->gossip, progress_report{m_applied, list}, {}, now, effects);
+            }
+        }
+    }
+}
+
+const membership_engine::domain_roles& membership_engine::roles() {
+    if (m_roles) {
+        return *m_roles;
+    }
+    std::vector<std::string> hosts = m_peers.hosts();
+    hosts.push_back(m_self->host);
+    domain_roles current;
+    current.readers = log_readers(m_self->failure_domain, hosts);
+    current.collectors = progress_collectors(m_self->failure_domain, hosts);
+    for (const std::string& host : hosts) {
+        current.host_by_hash.emplace(common::stable_hash(host), host);
     }
+    m_roles = std::move(current);
+    return *m_roles;
 }
 
 void membership_engine::start_reconciliation(common::steady_time now, membership_effects& effects) {
--- a/packages/membership/src/roles.cpp
+++ b/packages/membership/src/roles.cpp
@@ -2,6 +2,8 @@
 
 #include "boragehollow/common/rendezvous.hpp"
 
+#include <cmath>
+
 namespace boragehollow::membership {
 
 std::vector<std::string> log_readers(std::string_view failure_domain,
@@ -10,6 +12,21 @@
                                       readers_per_domain);
 }
 
+std::vector<std::string> progress_collectors(std::string_view failure_domain,
+                                             const std::vector<std::string>& live_hosts) {
+    // Up to this size the reports of one change, about 100 bytes each, stay below 7 KB at a log reader.
+    constexpr std::size_t largest_direct_domain = 64;
+    if (live_hosts.size() <= largest_direct_domain) {
+        return {};
+    }
+    const auto count = static_cast<std::size_t>(std::sqrt(static_cast<double>(live_hosts.size())));
+    return common::rendezvous_choices("progress/" + std::string(failure_domain), live_hosts, count);
+}
+
+const std::string& collector_of(std::string_view host, const std::vector<std::string>& collectors) {
+    return collectors[common::stable_hash(host) % collectors.size()];
+}
+
 std::optional<std::string> compactor(const std::vector<std::string>& readers) {
     std::vector<std::string> first = common::rendezvous_choices("compactor", readers, 1);
     if (first.empty()) {
--- a/packages/membership/tests/membership_engine_test.cpp
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -1,5 +1,7 @@
 #include "network.hpp"
 
+#include "boragehollow/membership/roles.hpp"
+
 #include <gtest/gtest.h>
 
 namespace boragehollow::membership::testing {
@@ -243,6 +245,23 @@
     EXPECT_EQ(net.at("a-0").engine->floor("a-6"), common::revision{});
 }
 
+// Guards against a count of "in force on N of M" that lags: each change has to be countable within G9's 11 s.
+TEST(membership_engine, log_readers_of_a_large_domain_hear_the_progress_of_all) {
+    network net(35);
+    net.start_domain("a", 200);
+    expect_joined(net, 200);
+    const std::vector<std::string> readers = log_readers("a", net.at("a-0").engine->live_hosts("a"));
+    for (network::node* item : net.running()) {
+        net.perform(*item, item->engine->note_local_version({7}, net.now()));
+    }
+    const auto counted = [&] {
+        return std::all_of(readers.begin(), readers.end(), [&](const std::string& reader) {
+            return net.at(reader).engine->progress({7}).at_or_past == 200;
+        });
+    };
+    EXPECT_LT(net.run_until(counted, 30s), 5s);
+}
+
 // Guards against a wall clock that was set back, which gives the new process the lower incarnation.
 TEST(membership_engine, a_tombstone_with_a_higher_incarnation_is_overruled) {
     network net(33);
--- a/packages/membership/tests/traffic_bench.cpp
+++ b/packages/membership/tests/traffic_bench.cpp
@@ -16,6 +16,7 @@
 
 constexpr int domains = 15;
 constexpr int hosts_per_domain = 733;
+constexpr double configuration_changes_per_second = 13000.0 / 86400;
 
 std::string domain_name(int domain) {
     return "failure-domain-" + std::to_string(domain);
@@ -69,8 +70,13 @@
         m_net.reset_bytes();
         const std::clock_t cpu_start = std::clock();
         double due = 0;
+        double versions_due = 0;
         for (std::chrono::seconds passed{0}; passed < span; ++passed) {
             due += changes_per_second;
+            versions_due += configuration_changes_per_second;
+            for (; versions_due >= 1; --versions_due) {
+                apply_next_version();
+            }
             for (; due >= 1; --due) {
                 restart_one();
             }
@@ -115,6 +121,14 @@
         return true;
     }
 
+    void apply_next_version() {
+        ++m_version;
+        for (int host = 0; host < hosts_per_domain; ++host) {
+            network::node& item = own(host);
+            m_net.perform(item, item.engine->note_local_version({m_version}, m_net.now()));
+        }
+    }
+
     /// A planned restart: drain, leave and return, of a random host of the mesh.
     void restart_one() {
         const int domain = static_cast<int>(m_random.index(domains));
@@ -173,6 +187,7 @@
     network m_net;
     common::random_source m_random{2};
     std::uint64_t m_restarts = 0;
+    std::uint64_t m_version = 0;
     std::vector<network::node*> m_stand_ins;
 };
 
