--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "boragehollow/membership/member.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace boragehollow::daemon {
+
+/// Immutable view of the members, published by the membership duty for the duties that send to other hosts.
+struct mesh_view {
+    std::string own_host;
+    std::string own_domain;
+    std::map<std::string, membership::member_ref, std::less<>> hosts;
+
+    bool reachable(const membership::member& value) const {
+        return value.state == membership::member_state::alive || value.state == membership::member_state::suspect;
+    }
+
+    /// Null when the host is unknown.
+    const membership::member* find(const std::string& host) const;
+
+    /// Live hosts of a domain, sorted.
+    std::vector<std::string> live_hosts(const std::string& failure_domain) const;
+    std::vector<std::string> failure_domains() const;
+
+    /// Log readers of a domain, first choice first.
+    std::vector<std::string> readers(const std::string& failure_domain) const;
+    /// The log reader that appends snapshots for the whole mesh; empty when there is none.
+    std::string compactor() const;
+
+    std::size_t count(membership::member_state state) const;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/published.hpp"
+#include "boragehollow/daemon/mesh_view.hpp"
+#include "boragehollow/membership/synchronization.hpp"
+#include "boragehollow/peer/control_client.hpp"
+#include "boragehollow/spreading/effects.hpp"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <variant>
+
+namespace boragehollow::daemon {
+
+/// Reconciliation request of the membership duty.
+struct send_sync {
+    std::string host;
+    common::endpoint peer;
+    membership::sync_request request;
+};
+
+using peer_sender_message = std::variant<spreading::push, spreading::pull, send_sync>;
+
+/// Where the answers go. Called on gRPC's threads; they only put a message on a ring.
+struct peer_sender_sinks {
+    std::function<void(std::uint64_t id, const std::string& peer,
+                       tl::expected<spreading::pull_answer, std::string> answer)>
+        pulled;
+    std::function<void(const send_sync& request, tl::expected<membership::sync_reply, std::string> reply)> synced;
+};
+
+struct peer_sender_settings {
+    std::chrono::milliseconds timeout{2'000};
+    /// A snapshot of a large configuration takes longer than other answers.
+    std::chrono::milliseconds pull_timeout{8'000};
+    std::size_t ring_size = 1'024;
+};
+
+/// Thread that sends control requests to other daemons.
+class peer_sender_duty {
+public:
+    peer_sender_duty(peer_sender_settings settings, peer::control_client& client,
+                     const common::published<mesh_view>& mesh, peer_sender_sinks sinks);
+    ~peer_sender_duty();
+
+    common::bounded_ring<peer_sender_message>& ring() { return m_ring; }
+
+private:
+    void run();
+    void handle(const spreading::push& message);
+    void handle(const spreading::pull& message);
+    void handle(const send_sync& message);
+    std::optional<common::endpoint> resolve(const std::string& host) const;
+
+    peer_sender_settings m_settings;
+    peer::control_client& m_client;
+    const common::published<mesh_view>& m_mesh;
+    peer_sender_sinks m_sinks;
+    common::bounded_ring<peer_sender_message> m_ring;
+    common::duty m_thread;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/src/peer_sender.cpp
@@ -0,0 +1,81 @@
+#include "boragehollow/daemon/peer_sender.hpp"
+
+#include "boragehollow/codec/member_codec.hpp"
+#include "boragehollow/codec/spreading_codec.hpp"
+
+#include <peer.pb.h>
+
+#include <optional>
+#include <utility>
+
+namespace boragehollow::daemon {
+
+peer_sender_duty::peer_sender_duty(peer_sender_settings settings, peer::control_client& client,
+                                   const common::published<mesh_view>& mesh, peer_sender_sinks sinks)
+    : m_settings(settings), m_client(client), m_mesh(mesh), m_sinks(std::move(sinks)), m_ring(settings.ring_size),
+      m_thread("peer_sender", [this](const std::stop_token&) { run(); }) {}
+
+peer_sender_duty::~peer_sender_duty() { m_ring.close(); }
+
+void peer_sender_duty::run() {
+    while (auto message = m_ring.pop()) {
+        std::visit([&](const auto& concrete) { handle(concrete); }, *message);
+    }
+}
+
+std::optional<common::endpoint> peer_sender_duty::resolve(const std::string& host) const {
+    const auto mesh = m_mesh.load();
+    const membership::member* known = mesh ? mesh->find(host) : nullptr;
+    return known == nullptr ? std::nullopt : std::optional<common::endpoint>(known->peer);
+}
+
+void peer_sender_duty::handle(const spreading::push& message) {
+    peer::v1::PushRequest request;
+    codec::write_push(message.records, request);
+    for (const std::string& host : message.peers) {
+        const auto remote = resolve(host);
+        if (!remote) {
+            continue;
+        }
+        // A lost push is repaired by the receiver's next pull.
+        m_client.push(*remote, request, m_settings.timeout, [](const auto&) {});
+    }
+}
+
+void peer_sender_duty::handle(const spreading::pull& message) {
+    const auto remote = resolve(message.peer);
+    if (!remote) {
+        m_sinks.pulled(message.id, message.peer, tl::unexpected("the host is unknown"));
+        return;
+    }
+    peer::v1::PullRequest request;
+    codec::write_pull_request(message.request, request);
+    m_client.pull(*remote, std::move(request), m_settings.pull_timeout,
+                  [this, id = message.id, peer = message.peer](tl::expected<peer::v1::PullReply, peer::control_error> reply) {
+                      if (!reply) {
+                          m_sinks.pulled(id, peer, tl::unexpected(reply.error().detail));
+                          return;
+                      }
+                      m_sinks.pulled(id, peer, codec::read_pull_answer(*reply));
+                  });
+}
+
+void peer_sender_duty::handle(const send_sync& message) {
+    peer::v1::SyncRequest request;
+    codec::write_sync_request(message.request, request);
+    m_client.sync(message.peer, std::move(request), m_settings.timeout,
+                  [this, message](tl::expected<peer::v1::SyncReply, peer::control_error> reply) {
+                      if (!reply) {
+                          m_sinks.synced(message, tl::unexpected(reply.error().detail));
+                          return;
+                      }
+                      auto decoded = codec::read_sync_reply(*reply);
+                      if (!decoded) {
+                          m_sinks.synced(message, tl::unexpected(codec::to_string(decoded.error())));
+                          return;
+                      }
+                      m_sinks.synced(message, std::move(*decoded));
+                  });
+}
+
+} // namespace boragehollow::daemon
