Add the operators' command line

Cause: operators had no way to make, read or check configuration. Not run against a daemon, since there is none yet.

--- /dev/null
+++ b/packages/cli/include/boragehollow/cli/change_file.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "boragehollow/config/change.hpp"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace boragehollow::cli {
+
+/// A fault of a file, with the place that is known: a key path, or a line within the detail.
+struct file_fault {
+    std::string file;
+    std::string key;
+    std::string detail;
+
+    bool operator==(const file_fault&) const = default;
+};
+
+std::string to_string(const file_fault& fault);
+
+/// Reads the operations of a JSON file: one entry, a list of entries, or the output of `get`. An entry is a
+/// resource; an operation (`put`, `delete`, `activate_schema`, with `expected_revision`); or a resource with
+/// its `revision` as `get` prints it, which becomes the expected revision.
+tl::expected<std::vector<config::operation>, std::vector<file_fault>>
+read_change_file(const std::string& file, std::string_view text);
+
+} // namespace boragehollow::cli
--- /dev/null
+++ b/packages/cli/src/file_check.cpp
@@ -0,0 +1,68 @@
+#include "boragehollow/cli/file_check.hpp"
+
+#include <toml++/toml.h>
+
+#include <cerrno>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <system_error>
+
+namespace boragehollow::cli {
+
+namespace {
+
+std::vector<file_fault> check_settings(const std::string& file, const std::string& text) {
+    try {
+        (void)toml::parse(text, file);
+        return {};
+    } catch (const toml::parse_error& error) {
+        const std::string line = "line " + std::to_string(error.source().begin.line);
+        return {{file, line, std::string(error.description())}};
+    }
+}
+
+std::vector<file_fault> check_file(const std::string& file) {
+    const auto text = read_file(file);
+    if (!text) {
+        return {text.error()};
+    }
+    if (file.ends_with(".toml")) {
+        return check_settings(file, *text);
+    }
+    auto read = read_change_file(file, *text);
+    return read ? std::vector<file_fault>{} : std::move(read).error();
+}
+
+} // namespace
+
+tl::expected<std::string, file_fault> read_file(const std::string& path) {
+    std::ostringstream content;
+    if (path == "-") {
+        content << std::cin.rdbuf();
+        return content.str();
+    }
+    std::ifstream stream(path, std::ios::binary);
+    const int error = errno;
+    if (!stream) {
+        return tl::unexpected(file_fault{path, "", std::generic_category().message(error)});
+    }
+    std::string text(std::istreambuf_iterator<char>(stream), {});
+    if (stream.bad()) {
+        return tl::unexpected(file_fault{path, "", "cannot be read"});
+    }
+    return text;
+}
+
+std::vector<file_fault> check_files(const std::vector<std::string>& files) {
+    std::vector<file_fault> faults;
+    for (const std::string& file : files) {
+        for (file_fault& fault : check_file(file)) {
+            faults.push_back(std::move(fault));
+        }
+    }
+    return faults;
+}
+
+} // namespace boragehollow::cli
