Declare the interface of the spreading engine

Cause: other parts of the daemon have to be written against the decisions of the spreading duty before those are implemented. Not built yet: the package has no CMakeLists.txt. Conclusion: the lead can include the headers; private members may change.

--- /dev/null
+++ b/packages/spreading/include/boragehollow/spreading/effects.hpp
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "boragehollow/spreading/messages.hpp"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/// What the spreading engine asks its duty to do.
+namespace boragehollow::spreading {
+
+/// Sends the records to each of the peers. A lost push is repaired by a pull.
+struct push {
+    std::vector<std::string> peers;
+    std::vector<log_record> records;
+};
+
+/// Sends the request; the result comes back through `pull_answered` or `pull_failed` with the same id.
+struct pull {
+    std::uint64_t id = 0;
+    std::string peer;
+    pull_request request;
+};
+
+/// Answers a request that came in through `pull_received` with the same ticket.
+struct answer {
+    std::uint64_t ticket = 0;
+    pull_answer content;
+};
+
+/// The records follow without a gap on everything handed over before.
+struct apply_records {
+    std::vector<log_record> records;
+};
+
+/// Replaces the state; its version is higher than everything handed over before.
+struct apply_snapshot {
+    encoded_snapshot snapshot;
+};
+
+/// Reads the newest snapshot of the platform's snapshot stream.
+struct request_platform_snapshot {};
+
+/// Appends the state at this version, which is the one last applied, to the platform's snapshot stream.
+struct append_snapshot {
+    revision version;
+};
+
+/// Starts or stops reading the platform's configuration stream after `position`.
+struct log_reading_changed {
+    bool active = false;
+    revision position;
+};
+
+struct readiness_changed {
+    bool ready = false;
+};
+
+/// Two daemons reached different states from the same records.
+struct digest_mismatch {
+    std::string peer;
+    revision version;
+    std::uint64_t own = 0;
+    std::uint64_t theirs = 0;
+};
+
+using effect = std::variant<push, pull, answer, apply_records, apply_snapshot, request_platform_snapshot,
+                            append_snapshot, log_reading_changed, readiness_changed, digest_mismatch>;
+using effects = std::vector<effect>;
+
+} // namespace boragehollow::spreading
--- /dev/null
+++ b/packages/spreading/include/boragehollow/spreading/spreading_engine.hpp
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "boragehollow/common/random_source.hpp"
+#include "boragehollow/common/time.hpp"
+#include "boragehollow/spreading/effects.hpp"
+#include "boragehollow/spreading/floor_table.hpp"
+#include "boragehollow/spreading/peer_view.hpp"
+#include "boragehollow/spreading/record_store.hpp"
+#include "boragehollow/spreading/settings.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace boragehollow::spreading {
+
+using common::steady_time;
+
+/// Extent of the platform's configuration stream.
+struct log_extent {
+    revision first_retained{1}; ///< First offset that the stream still holds.
+    revision next_offset{1};    ///< Offset that the next record will get.
+};
+
+/// Decides which records and snapshots go to the apply duty, to which peers, and whether this daemon may
+/// serve. Owned by the spreading duty; holds no thread, lock, clock or socket.
+class spreading_engine {
+public:
+    spreading_engine(spreading_settings settings, common::random_source random, steady_time now);
+
+    /// Records that the log reader read, in offset order.
+    effects records_read(std::vector<log_record> records, steady_time now);
+
+    /// The log reader has read everything up to the end of the stream; `records_read` came before. Also
+    /// called when a read started after a gap, so that expired records are noticed.
+    effects log_head(log_extent extent, steady_time now);
+
+    /// The platform cannot be read.
+    effects log_unavailable(steady_time now);
+
+    effects push_received(const std::string& from, std::vector<log_record> records, steady_time now);
+    effects pull_received(std::uint64_t ticket, const pull_request& request, steady_time now);
+
+    /// The answer to `ticket` has left this host, or was lost; frees its place among the snapshot transfers.
+    void answer_sent(std::uint64_t ticket);
+
+    effects pull_answered(std::uint64_t id, const std::string& peer, pull_answer content, steady_time now);
+    effects pull_failed(std::uint64_t id, steady_time now);
+
+    /// Newest snapshot of the platform's snapshot stream.
+    effects snapshot_read(encoded_snapshot snapshot, steady_time now);
+    effects snapshot_read_failed(steady_time now);
+
+    /// The snapshot was appended to the platform's stream.
+    effects snapshot_appended(revision version, steady_time now);
+    effects snapshot_append_failed(steady_time now);
+
+    /// The apply duty's state is at `version`.
+    effects applied(revision version, std::uint64_t digest, steady_time now);
+
+    /// The apply duty could not decode the snapshot with this version. It is asked for again elsewhere.
+    effects snapshot_rejected(revision version, steady_time now);
+
+    effects members_changed(peer_view view, steady_time now);
+
+    /// A host was heard to have applied `version` (pings, acks, progress reports).
+    void version_heard(const std::string& host, revision version, steady_time now);
+
+    /// This daemon was out of contact (paused, or declared dead). It pulls before it serves again.
+    effects contact_lost(steady_time now);
+
+    effects tick(steady_time now);
+    steady_time next_wakeup() const;
+
+    bool ready() const { return m_ready; }
+    revision applied_version() const { return m_applied; }
+    std::uint64_t applied_digest() const { return m_digest; }
+    revision held_version() const { return m_store.last(); }
+    /// Lowest version at which this daemon may become ready.
+    revision required_version() const { return m_required; }
+    const floor_table& floors() const { return m_floors; }
+    const spreading_settings& settings() const { return m_settings; }
+
+private:
+    struct outstanding_pull {
+        std::uint64_t id = 0;
+        std::string peer;
+        steady_time deadline;
+    };
+
+    void notice_pause(steady_time now, effects& out);
+    void take_records(std::vector<log_record> records, bool spread, const std::string& from, steady_time now,
+                      effects& out);
+    void take_snapshot(encoded_snapshot snapshot, effects& out);
+    void take_answer_body(pull_answer_body body, const std::string& peer, steady_time now, effects& out);
+    void hand_over(std::vector<log_record> records, effects& out);
+    void flush_pushes(steady_time now, effects& out);
+    void queue_push(const std::vector<log_record>& records, const std::string& from, steady_time now);
+    void start_pull(std::string peer, steady_time now, effects& out);
+    void schedule_pull(std::chrono::milliseconds delay, steady_time now);
+    void schedule_regular_pull(steady_time now);
+    void pull_was_lost(steady_time now);
+    std::optional<std::string> choose_pull_peer(steady_time now);
+    std::size_t other_domain_odds() const;
+    std::chrono::milliseconds pull_timeout() const;
+    pull_answer_body answer_body(std::uint64_t ticket, const pull_request& request, steady_time now);
+    pull_answer_body snapshot_body(std::uint64_t ticket, steady_time now);
+    void compare_digest(const std::string& peer, revision version, std::uint64_t theirs, effects& out) const;
+    void update_readiness(effects& out);
+    void update_log_reading(steady_time now, effects& out);
+    void update_compaction(steady_time now, effects& out);
+    void ask_platform_snapshot(steady_time now, effects& out);
+    std::chrono::milliseconds jittered(std::chrono::milliseconds interval);
+
+    spreading_settings m_settings;
+    common::random_source m_random;
+    peer_view m_view;
+    record_store m_store;
+    floor_table m_floors;
+
+    revision m_applied;
+    std::uint64_t m_digest = 0;
+    std::deque<std::pair<revision, std::uint64_t>> m_digests; ///< Recent versions of the own state.
+
+    revision m_required;     ///< Floor, ready peers' versions, head of the log.
+    bool m_verified = false; ///< A ready peer answered, or the log was read up to its head.
+    bool m_ready = false;
+    int m_reverify_failures = 0;
+
+    std::optional<outstanding_pull> m_pull;
+    std::uint64_t m_next_pull_id = 1;
+    int m_failed_pulls = 0;
+    bool m_first_pull = true;
+    steady_time m_next_pull;
+    std::string m_preferred_peer; ///< Peer known to hold what this daemon misses.
+
+    std::vector<log_record> m_outgoing;
+    std::string m_outgoing_from; ///< Sender of the outgoing records, or empty when there are several.
+    steady_time m_last_flush;
+
+    std::map<std::uint64_t, steady_time> m_transfers; ///< Snapshot answers on their way: ticket, expiry.
+
+    bool m_log_reachable = true;
+    bool m_reading = false;
+    steady_time m_started;
+    steady_time m_last_call;
+
+    std::optional<steady_time> m_snapshot_wanted; ///< When to ask the platform again.
+    bool m_gap_open = false;                      ///< The log no longer holds the next record.
+
+    std::optional<steady_time> m_compactor_since;
+    std::optional<revision> m_compacted; ///< Last version known to be in the snapshot stream.
+    steady_time m_compacted_at;
+    std::optional<steady_time> m_append_pending; ///< When an append without an answer is given up.
+};
+
+} // namespace boragehollow::spreading
