Implement the spreading engine

Cause: records have to reach every daemon within 11 s, in order, without a daemon going back to an older version, and without load on the platform that grows with the fleet.

--- a/packages/spreading/include/boragehollow/spreading/messages.hpp
+++ b/packages/spreading/include/boragehollow/spreading/messages.hpp
@@ -10,7 +10,8 @@
 #include <variant>
 #include <vector>
 
-/// Values that daemons exchange about the configuration log. Record and snapshot bytes are never decoded here.
+/// Values that daemons exchange about the configuration log. Record and snapshot bytes are never decoded
+/// here.
 namespace boragehollow::spreading {
 
 using common::revision;
@@ -35,8 +36,8 @@
 
 struct pull_request {
     std::string from_host;
-    revision version;         ///< Last record that the sender holds without a gap.
-    std::uint64_t digest = 0; ///< Of the state at `version`; 0 while that record is not applied yet.
+    revision version;          ///< Last record that the sender holds without a gap.
+    std::uint64_t digest = 0;  ///< Of the state at `version`; 0 while that record is not applied yet.
     std::string floor_of_host; ///< Host whose version floor the sender asks for; empty once it is ready.
 };
 
--- a/packages/spreading/include/boragehollow/spreading/settings.hpp
+++ b/packages/spreading/include/boragehollow/spreading/settings.hpp
@@ -26,7 +26,7 @@
     milliseconds gap_pull_delay{100};
     milliseconds failed_pull_delay{200};
     milliseconds pull_timeout{1'000};
-    milliseconds max_pull_timeout{8'000};
+    milliseconds max_pull_timeout{4'000};
     std::size_t pull_answer_bytes = 1024 * 1024;
     /// One pull in this many goes to another failure domain.
     std::size_t other_domain_one_in = 8;
--- a/packages/spreading/include/boragehollow/spreading/spreading_engine.hpp
+++ b/packages/spreading/include/boragehollow/spreading/spreading_engine.hpp
@@ -32,7 +32,7 @@
     spreading_engine(spreading_settings settings, common::random_source random, steady_time now);
 
     /// Records that the log reader read, in offset order.
-    effects records_read(std::vector<log_record> records, steady_time now);
+    effects records_read(const std::vector<log_record>& records, steady_time now);
 
     /// The log reader has read everything up to the end of the stream; `records_read` came before. Also
     /// called when a read started after a gap, so that expired records are noticed.
@@ -41,7 +41,7 @@
     /// The platform cannot be read.
     effects log_unavailable(steady_time now);
 
-    effects push_received(const std::string& from, std::vector<log_record> records, steady_time now);
+    effects push_received(const std::string& from, const std::vector<log_record>& records, steady_time now);
     effects pull_received(std::uint64_t ticket, const pull_request& request, steady_time now);
 
     /// The answer to `ticket` has left this host, or was lost; frees its place among the snapshot transfers.
@@ -87,74 +87,88 @@
 private:
     struct outstanding_pull {
         std::uint64_t id = 0;
-        std::string peer;
         steady_time deadline;
     };
 
-    void notice_pause(steady_time now, effects& out);
-    void take_records(std::vector<log_record> records, bool spread, const std::string& from, steady_time now,
-                      effects& out);
+    void begin_call(steady_time now, effects& out);
+    void lose_contact(steady_time now, effects& out);
+
+    // Records and snapshots (spreading_engine.cpp).
+    void take_records(const std::vector<log_record>& records, bool spread, const std::string& from,
+                      steady_time now, effects& out);
     void take_snapshot(encoded_snapshot snapshot, effects& out);
-    void take_answer_body(pull_answer_body body, const std::string& peer, steady_time now, effects& out);
-    void hand_over(std::vector<log_record> records, effects& out);
+    void hand_over_ready(effects& out);
+    void queue_push(const std::vector<log_record>& records, const std::string& from);
     void flush_pushes(steady_time now, effects& out);
-    void queue_push(const std::vector<log_record>& records, const std::string& from, steady_time now);
-    void start_pull(std::string peer, steady_time now, effects& out);
-    void schedule_pull(std::chrono::milliseconds delay, steady_time now);
-    void schedule_regular_pull(steady_time now);
-    void pull_was_lost(steady_time now);
-    std::optional<std::string> choose_pull_peer(steady_time now);
-    std::size_t other_domain_odds() const;
-    std::chrono::milliseconds pull_timeout() const;
+    std::vector<std::string> choose_push_peers();
+    void compare_digest(const std::string& peer, revision version, std::uint64_t theirs, effects& out) const;
+    void update_readiness(steady_time now, effects& out);
+
+    // Pulls (spreading_pulls.cpp).
+    bool take_body(pull_answer_body body, const std::string& peer, steady_time now, effects& out);
+    void start_pull(steady_time now, effects& out);
+    void pull_lost(steady_time now, effects& out);
+    void count_failed_reverification(steady_time now, effects& out);
+    steady_time pull_due() const;
+    std::string choose_pull_peer();
+    std::size_t other_domain_one_in() const;
+    milliseconds pull_timeout() const;
+    milliseconds regular_interval() const;
+    milliseconds jittered(milliseconds interval);
     pull_answer_body answer_body(std::uint64_t ticket, const pull_request& request, steady_time now);
     pull_answer_body snapshot_body(std::uint64_t ticket, steady_time now);
-    void compare_digest(const std::string& peer, revision version, std::uint64_t theirs, effects& out) const;
-    void update_readiness(effects& out);
+
+    // The platform's streams (spreading_platform.cpp).
+    bool log_lost_next_record() const { return m_store.last().next() < m_extent.first_retained; }
     void update_log_reading(steady_time now, effects& out);
-    void update_compaction(steady_time now, effects& out);
+    void restart_log_reading(effects& out) const;
     void ask_platform_snapshot(steady_time now, effects& out);
-    std::chrono::milliseconds jittered(std::chrono::milliseconds interval);
+    void update_compaction(steady_time now, effects& out);
+    std::optional<steady_time> compaction_due() const;
 
     spreading_settings m_settings;
     common::random_source m_random;
     peer_view m_view;
     record_store m_store;
     floor_table m_floors;
+    steady_time m_started;
+    steady_time m_last_call;
+    steady_time m_next_prune;
 
     revision m_applied;
     std::uint64_t m_digest = 0;
     std::deque<std::pair<revision, std::uint64_t>> m_digests; ///< Recent versions of the own state.
 
-    revision m_required;     ///< Floor, ready peers' versions, head of the log.
+    revision m_required;     ///< Highest of the floor, the ready peers' versions and the head of the log.
     bool m_verified = false; ///< A ready peer answered, or the log was read up to its head.
     bool m_ready = false;
+    bool m_was_ready = false;
     int m_reverify_failures = 0;
 
     std::optional<outstanding_pull> m_pull;
-    std::uint64_t m_next_pull_id = 1;
+    std::uint64_t m_last_pull_id = 0;
     int m_failed_pulls = 0;
-    bool m_first_pull = true;
+    bool m_ask_reader = true; ///< The next pull goes to a log reader, which knows the floors of its domain.
     steady_time m_next_pull;
-    std::string m_preferred_peer; ///< Peer known to hold what this daemon misses.
+    std::optional<steady_time> m_gap_due; ///< When a gap that a push left is pulled.
+    std::string m_preferred_peer;         ///< Peer known to hold what this daemon misses.
 
     std::vector<log_record> m_outgoing;
-    std::string m_outgoing_from; ///< Sender of the outgoing records, or empty when there are several.
-    steady_time m_last_flush;
+    std::size_t m_outgoing_bytes = 0;
+    std::string m_outgoing_from; ///< A sender of the outgoing records, which has no use for them.
+    steady_time m_next_flush;
 
     std::map<std::uint64_t, steady_time> m_transfers; ///< Snapshot answers on their way: ticket, expiry.
 
+    log_extent m_extent;
     bool m_log_reachable = true;
     bool m_reading = false;
-    steady_time m_started;
-    steady_time m_last_call;
-
-    std::optional<steady_time> m_snapshot_wanted; ///< When to ask the platform again.
-    bool m_gap_open = false;                      ///< The log no longer holds the next record.
+    std::optional<steady_time> m_snapshot_retry; ///< When the platform may be asked for a snapshot again.
 
     std::optional<steady_time> m_compactor_since;
     std::optional<revision> m_compacted; ///< Last version known to be in the snapshot stream.
     steady_time m_compacted_at;
-    std::optional<steady_time> m_append_pending; ///< When an append without an answer is given up.
+    std::optional<steady_time> m_append_until; ///< No further append before this time.
 };
 
 } // namespace boragehollow::spreading
--- /dev/null
+++ b/packages/spreading/tests/convergence_test.cpp
@@ -0,0 +1,195 @@
+#include "network.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+
+namespace boragehollow::spreading {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Time within which an accepted configuration has to be in force everywhere (G9).
+constexpr milliseconds convergence_target{11'000};
+
+void start_all(network& net) {
+    for (std::size_t i = 0; i < net.nodes.size(); ++i) {
+        net.start(i);
+    }
+    net.update_views();
+    net.run_for(30s);
+    ASSERT_TRUE(net.converged());
+}
+
+struct size_and_deaths {
+    std::size_t per_domain;
+    std::size_t dead;
+};
+
+class convergence : public testing::TestWithParam<size_and_deaths> {};
+
+// G9 with daemons that die at the moment of the change: the others still have them in their views, and wait
+// for their answers in vain, until membership notices after 4 s.
+TEST_P(convergence, reaches_every_daemon_within_the_target) {
+    const auto [per_domain, dead] = GetParam();
+    constexpr milliseconds change_interval(6'646); // 13,000 changes a day
+    constexpr milliseconds detection(4'000);
+    constexpr int changes = 20;
+    network net(2, per_domain, 7);
+    common::random_source random(17);
+    start_all(net);
+    milliseconds worst{0};
+    std::uint64_t bytes = 0;
+    std::uint64_t push_bytes = 0;
+    for (int change = 0; change < changes; ++change) {
+        std::set<std::size_t> victims;
+        while (victims.size() < 2 * dead) {
+            victims.insert(random.index(net.nodes.size()));
+        }
+        for (const std::size_t victim : victims) {
+            net.stop(victim);
+        }
+        net.counted.bytes = net.counted.push_bytes = 0;
+        net.append(600);
+        net.run_for(detection);
+        net.update_views();
+        net.run_for(change_interval - detection);
+        bytes += net.counted.bytes;
+        push_bytes += net.counted.push_bytes;
+        net.run_for(convergence_target - change_interval);
+        ASSERT_TRUE(net.convergence().has_value()) << "change " << change;
+        worst = std::max(worst, *net.convergence());
+        for (const std::size_t victim : victims) {
+            net.start(victim);
+        }
+        net.update_views();
+        net.run_for(10s);
+    }
+    EXPECT_EQ(net.counted.g1_violations, 0U);
+    const std::uint64_t shares = changes * 2 * (per_domain - dead);
+    std::printf(
+        "daemons a domain %zu, dead %zu: worst convergence %lld ms; bytes sent a change and daemon: push "
+        "%llu, all %llu\n",
+        per_domain, dead, static_cast<long long>(worst.count()),
+        static_cast<unsigned long long>(push_bytes / shares),
+        static_cast<unsigned long long>(bytes / shares));
+}
+
+INSTANTIATE_TEST_SUITE_P(sizes, convergence,
+                         testing::Values(size_and_deaths{48, 0}, size_and_deaths{48, 1},
+                                         size_and_deaths{48, 16}, size_and_deaths{733, 0},
+                                         size_and_deaths{733, 1}, size_and_deaths{733, 244}));
+
+// Lost and crossed messages: pulls have to repair what pushes miss, in offset order.
+TEST(network, burst_with_a_tenth_of_the_messages_lost_converges) {
+    network net(2, 48, 11);
+    start_all(net);
+    net.loss = 0.1;
+    for (int i = 0; i < 300; ++i) {
+        net.append(600);
+        net.run_for(3ms);
+    }
+    net.run_for(convergence_target);
+    EXPECT_TRUE(net.converged());
+    EXPECT_EQ(net.counted.g1_violations, 0U);
+}
+
+// A third of the daemons returns at once while records have expired: reads and transfers stay bounded.
+TEST(network, reconnect_storm_stays_bounded) {
+    network net(1, 733, 3);
+    start_all(net);
+    for (int i = 0; i < 1'500; ++i) {
+        net.append(200);
+        net.run_for(5ms);
+    }
+    net.run_for(70s); // the compactor appends its snapshot
+    ASSERT_TRUE(net.converged());
+    net.first_retained = revision{1'400};
+    for (std::size_t i = 0; i < 244; ++i) {
+        net.stop(i);
+    }
+    net.update_views();
+    net.run_for(10s);
+    net.counted = {};
+    for (std::size_t i = 0; i < 244; ++i) {
+        net.start(i);
+    }
+    net.update_views();
+    net.run_for(convergence_target);
+    EXPECT_TRUE(net.converged());
+    EXPECT_EQ(net.counted.g1_violations, 0U);
+    EXPECT_LE(net.counted.most_transfers_of_one, 8U);
+    EXPECT_LE(net.counted.snapshot_answers, 2U * 244U);
+    EXPECT_LE(net.counted.platform_reads + net.counted.platform_snapshots, 10U);
+    std::printf(
+        "storm of 244 among 733: platform reads %llu, platform snapshots %llu, snapshot transfers %llu, "
+        "most at once on one daemon %zu\n",
+        static_cast<unsigned long long>(net.counted.platform_reads),
+        static_cast<unsigned long long>(net.counted.platform_snapshots),
+        static_cast<unsigned long long>(net.counted.snapshot_answers), net.counted.most_transfers_of_one);
+}
+
+// G1 with the platform down: returning daemons serve again only through ready peers.
+TEST(network, restart_while_the_platform_is_down) {
+    network net(2, 12, 5);
+    start_all(net);
+    net.append(600);
+    net.run_for(5s);
+    net.platform_up = false;
+    for (std::size_t i = 0; i < 12; ++i) { // the whole first domain
+        net.stop(i);
+        net.start(i);
+    }
+    net.update_views();
+    net.run_for(convergence_target);
+    EXPECT_TRUE(net.converged()) << "the other domain is ready";
+    for (std::size_t i = 0; i < net.nodes.size(); ++i) {
+        net.stop(i);
+        net.start(i);
+    }
+    net.update_views();
+    net.run_for(60s);
+    EXPECT_EQ(net.count([](const network::node& n) { return n.engine->ready(); }), 0U);
+    net.platform_up = true;
+    net.run_for(convergence_target);
+    EXPECT_TRUE(net.converged());
+    EXPECT_EQ(net.counted.g1_violations, 0U);
+}
+
+// A domain that reaches neither the platform nor other domains keeps its version and catches up afterwards.
+TEST(network, partitioned_domain_heals) {
+    network net(3, 24, 9);
+    start_all(net);
+    net.append(600);
+    net.run_for(5s);
+    net.cut_domains.insert("d1");
+    for (int i = 0; i < 1'200; ++i) { // more than a daemon retains for its peers
+        net.append(200);
+        net.run_for(20ms);
+    }
+    EXPECT_EQ(net.count([](const network::node& n) {
+        return n.domain == "d1" && n.applied == revision{1} && n.engine->ready();
+    }),
+              24U);
+    net.cut_domains.clear();
+    net.run_for(convergence_target);
+    EXPECT_TRUE(net.converged());
+    EXPECT_EQ(net.counted.g1_violations, 0U);
+}
+
+// A domain cut off from the platform but not from its neighbours gets its changes through their daemons.
+TEST(network, domain_without_the_platform_follows_its_neighbours) {
+    network net(2, 24, 13);
+    start_all(net);
+    for (std::size_t i = 0; i < 24; ++i) {
+        net.nodes[i].reads_platform = false;
+    }
+    for (int i = 0; i < 10; ++i) {
+        net.append(600);
+        net.run_for(convergence_target);
+        ASSERT_TRUE(net.converged());
+    }
+}
+
+} // namespace
+} // namespace boragehollow::spreading
