Add the log client, its codec and the stand-in of the log service

Cause: the daemon reads and appends records over the platform's HTTP protocol, and has to tell an append that did not happen from one whose answer was lost.

--- /dev/null
+++ b/packages/codec/include/boragehollow/codec/spreading_codec.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "boragehollow/spreading/messages.hpp"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <vector>
+
+namespace boragehollow::peer::v1 {
+class PushRequest;
+class PullRequest;
+class PullReply;
+} // namespace boragehollow::peer::v1
+
+/// Conversion between the spreading engine's values and the messages between daemons. The header of a request
+/// is set by the sender, except for `from_host`, which belongs to the pull itself.
+namespace boragehollow::codec {
+
+void write_push(const std::vector<spreading::log_record>& records, peer::v1::PushRequest& message);
+tl::expected<std::vector<spreading::log_record>, std::string> read_push(const peer::v1::PushRequest& message);
+
+void write_pull_request(const spreading::pull_request& request, peer::v1::PullRequest& message);
+spreading::pull_request read_pull_request(const peer::v1::PullRequest& message);
+
+/// A snapshot in the answer has to carry its bytes.
+void write_pull_answer(const spreading::pull_answer& answer, peer::v1::PullReply& message);
+tl::expected<spreading::pull_answer, std::string> read_pull_answer(const peer::v1::PullReply& message);
+
+} // namespace boragehollow::codec
--- /dev/null
+++ b/packages/platform/include/boragehollow/platform/http_log_client.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/platform/memory_log.hpp"
+
+#include <string>
+#include <utility>
+
+namespace boragehollow::platform {
+
+/// Client of the platform's log service. Each call has a connection of its own, so that a failed connection
+/// attempt is known to have sent nothing.
+class http_log_client {
+public:
+    /// `client_name` is sent as the user agent.
+    http_log_client(common::endpoint service, std::string client_name)
+        : m_service(std::move(service)), m_client_name(std::move(client_name)) {}
+
+    tl::expected<revision, log_error> append(const std::string& stream, const std::string& record,
+                                             milliseconds timeout) const;
+
+    /// The time limit has to be longer than the request's own waiting time.
+    tl::expected<log_page, log_error> read(const read_request& request, milliseconds timeout) const;
+
+private:
+    struct call_parts {
+        bool append = false;
+        std::string path;
+        std::string body;
+    };
+
+    tl::expected<std::string, log_error> call(const call_parts& parts, milliseconds timeout) const;
+
+    common::endpoint m_service;
+    std::string m_client_name;
+};
+
+} // namespace boragehollow::platform
--- /dev/null
+++ b/packages/platform/tests/memory_log_test.cpp
@@ -0,0 +1,77 @@
+#include "boragehollow/platform/log_client.hpp"
+#include "boragehollow/platform/snapshot_stream.hpp"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace boragehollow::platform {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct fixture : testing::Test {
+    std::shared_ptr<memory_log> log = std::make_shared<memory_log>();
+    log_client client = memory_log_client{log, "test"};
+};
+
+using memory_log_test = fixture;
+
+// A reader that starts before the first retained record has to see the gap.
+TEST(memory_log_retention, read_from_before_the_first_retained_record_shows_the_gap) {
+    const auto log = std::make_shared<memory_log>(memory_log_settings{.retained_records = 3});
+    const log_client client = memory_log_client{log, "test"};
+    for (int i = 1; i <= 5; ++i) {
+        EXPECT_EQ(append(client, "config", std::to_string(i), 1s)->value, static_cast<std::uint64_t>(i));
+    }
+    const auto page = read(client, {"config", revision{1}, 2, 0ms}, 1s);
+    EXPECT_EQ(page->first_retained, revision{3});
+    EXPECT_EQ(page->next_offset, revision{6});
+    ASSERT_EQ(page->records.size(), 2U);
+    EXPECT_EQ(*page->records.front().bytes, "3");
+}
+
+TEST_F(memory_log_test, records_expire_with_time) {
+    const log_client brief =
+        memory_log_client{std::make_shared<memory_log>(memory_log_settings{.retained_time = 20ms}), "test"};
+    append(brief, "config", "a", 1s);
+    std::this_thread::sleep_for(40ms);
+    EXPECT_EQ(read(brief, {"config", revision{1}, 2, 0ms}, 1s)->first_retained, revision{2});
+}
+
+// The publisher must tell an append that took effect from one that did not.
+TEST_F(memory_log_test, errors_separate_not_appended_from_unknown) {
+    log->set_switches({.outage = true});
+    const auto refused = append(client, "config", "a", 1s);
+    EXPECT_FALSE(may_have_appended(refused.error()));
+    log->set_switches({.lose_answers = 1});
+    EXPECT_TRUE(may_have_appended(append(client, "config", "b", 1s).error()));
+    log->set_switches({.slow = 50ms});
+    EXPECT_TRUE(may_have_appended(append(client, "config", "c", 10ms).error()));
+    log->set_switches({});
+    EXPECT_EQ(read(client, {"config", revision{1}, 9, 0ms}, 1s)->records.size(), 2U);
+}
+
+TEST_F(memory_log_test, long_poll_ends_with_the_next_record) {
+    std::jthread writer([&] {
+        std::this_thread::sleep_for(20ms);
+        append(client, "config", "a", 1s);
+    });
+    EXPECT_EQ(read(client, {"config", revision{1}, 9, 10s}, 20s)->records.size(), 1U);
+}
+
+// A compactor that stopped half way must not hide the snapshot before it.
+TEST_F(memory_log_test, newest_complete_snapshot_is_found_behind_an_incomplete_one) {
+    EXPECT_FALSE(read_newest_snapshot(client, "snapshots", 1s)->has_value());
+    const auto bytes = std::make_shared<const std::string>(1'000'000, 's');
+    ASSERT_TRUE(append_snapshot(client, "snapshots", {revision{7}, 3, bytes}, 1s));
+    const auto chunks = codec::encode_snapshot_chunks({revision{8}, 4, bytes}, 256 * 1024);
+    append(client, "snapshots", chunks.front(), 1s);
+    const auto found = read_newest_snapshot(client, "snapshots", 1s);
+    ASSERT_TRUE(found && found->has_value());
+    EXPECT_EQ((*found)->version, revision{7});
+    EXPECT_EQ(*(*found)->bytes, *bytes);
+}
+
+} // namespace
+} // namespace boragehollow::platform
