Add a stand-in for a target

Cause: scenarios need targets that slow down, shed load, drain, die and misreport their load on command.

--- /dev/null
+++ b/standins/target/ledger.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "boragehollow/common/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace boragehollow::standin {
+
+enum class run_state { running, done, aborted, expired, died };
+
+/// One request that the target began to run.
+struct ledger_entry {
+    std::uint64_t number = 0;
+    std::string request_id;
+    std::string call_id;
+    std::string key;
+    std::string method;
+    std::string path;
+    common::wall_time start;
+    common::wall_time end;
+    run_state state = run_state::running;
+    std::uint64_t received = 0;
+};
+
+struct ledger_counts {
+    std::uint64_t started = 0;
+    std::uint64_t done = 0;
+    std::uint64_t aborted = 0;
+    std::uint64_t expired = 0;
+    std::uint64_t died = 0;
+    std::uint64_t shed = 0;
+    std::uint64_t refused = 0;        ///< While starting or on command.
+    std::uint64_t late = 0;           ///< The deadline passed before a slot was free.
+    std::uint64_t begun_draining = 0; ///< Begun after the drain was announced.
+};
+
+/// What the target ran. It is the truth that checkers compare answers with.
+class ledger {
+public:
+    explicit ledger(std::size_t capacity) : m_capacity(capacity) {}
+
+    void begin(ledger_entry entry);
+    void end(std::uint64_t number, run_state state, std::uint64_t received, common::wall_time now);
+
+    const std::deque<ledger_entry>& entries() const { return m_entries; }
+    ledger_counts& counts() { return m_counts; }
+    const ledger_counts& counts() const { return m_counts; }
+
+    /// Request ids that began more than once, with their number of runs.
+    std::vector<std::pair<std::string, std::uint32_t>> repeated() const;
+
+private:
+    std::size_t m_capacity;
+    std::deque<ledger_entry> m_entries; ///< Numbers are consecutive.
+    std::unordered_map<std::string, std::uint32_t> m_runs;
+    ledger_counts m_counts;
+};
+
+} // namespace boragehollow::standin
