Add an open-loop load generator

Cause: latency under a swing of demand needs arrivals that do not wait for answers. Change: tools/load/boragehollow_load, with rate steps, five kinds of request, several callers, checks that each response and body belongs to its request, and one JSON line per answer. Conclusion: the answers can be compared with the ledgers of the targets.

--- /dev/null
+++ b/tools/load/recorder.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "messages.hpp"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <array>
+#include <cstdint>
+#include <fstream>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace boragehollow::load {
+
+/// Collects the answers: one JSON line each, counts, and percentiles for each kind of request.
+class recorder {
+public:
+    explicit recorder(const std::string& answers_file);
+
+    /// False when the file cannot be written.
+    bool ready() const;
+
+    void add(const answer& value);
+
+    std::uint64_t count(outcome result) const;
+    nlohmann::json summary(std::chrono::duration<double> elapsed);
+
+private:
+    struct kind_record {
+        std::array<std::uint64_t, outcome_count> outcomes{};
+        std::vector<std::int64_t> answered_us;
+        std::vector<std::int64_t> other_us;
+    };
+
+    bool m_wants_file;
+    std::ofstream m_file;
+    std::array<kind_record, kind_count> m_kinds;
+    std::map<std::string, std::uint64_t> m_reasons;
+    std::map<std::string, std::uint64_t> m_targets;
+    std::map<std::string, std::array<std::uint64_t, 2>>
+        m_callers; ///< Requests, and those that were answered.
+};
+
+} // namespace boragehollow::load
