Add the scenario language, its runner and a scenario for each guarantee

Cause: the guarantees have to be shown on the real programs while faults meet, and a failure has to be repeatable. Change: packages/scenario (parser with all faults and their lines, name check, process control by posix_spawn and pidfd, caller and load, sampler, checker over answers, ledgers, versions and timelines), the program boragehollow_scenario, nine scenario files, example resources for both sites, docs/scenarios.md. The settings and the examples write minutes as `m`, as the resource codec does. The nine scenarios have not run on the daemon yet. Conclusion: the runner is ready for the daemon and the stand-ins; their interfaces stand in docs/scenarios.md.

--- /dev/null
+++ b/packages/scenario/src/control_api.cpp
@@ -0,0 +1,226 @@
+#include "control_api.hpp"
+
+#include "boragehollow/web/http_client.hpp"
+
+#include <cstdint>
+#include <exception>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace boragehollow::scenario::control_api {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds control_timeout = 2s;
+
+/// A change waits for the append to the platform log, which may be slow.
+constexpr std::chrono::milliseconds change_timeout = 15s;
+
+std::string describe(const web::web_error& error) {
+    return std::string(to_string(error.kind)) + ": " + error.detail;
+}
+
+std::string describe(const web::client_response& response) {
+    return std::to_string(response.status) + " " + response.body.substr(0, 400);
+}
+
+result<web::client_response> request(const common::endpoint& server, std::string_view method,
+                                     std::string_view path, std::string_view body,
+                                     std::chrono::milliseconds timeout) {
+    web::header_list headers;
+    if (!body.empty()) {
+        headers.push_back({"Content-Type", "application/json"});
+    }
+    auto response = web::fetch(server, method, path, headers, body, timeout);
+    if (!response) {
+        return tl::unexpected(describe(response.error()));
+    }
+    return std::move(*response);
+}
+
+/// Body of a response with status 200.
+result<std::string> read_body(const common::endpoint& server, std::string_view path,
+                              std::chrono::milliseconds timeout) {
+    auto response = request(server, "GET", path, {}, timeout);
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    if (response->status != 200) {
+        return tl::unexpected(describe(*response));
+    }
+    return std::move(response->body);
+}
+
+/// Runs a conversion and turns the exceptions of the JSON library into an error.
+template <class Convert>
+auto guarded(std::string_view what, const Convert& convert) -> result<decltype(convert())> {
+    try {
+        return convert();
+    } catch (const json::exception& error) {
+        return tl::unexpected(std::string(what) + ": " + error.what());
+    }
+}
+
+std::string plain_text(const json& value) {
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+json empty_change(const std::string& change_id) {
+    return {{"change_id", change_id}, {"author", "scenario"}, {"operations", json::array()}};
+}
+
+common::wall_time wall_time_of(const json& microseconds) {
+    return common::wall_time(std::chrono::microseconds(microseconds.get<std::int64_t>()));
+}
+
+} // namespace
+
+bool healthy(const common::endpoint& operators, std::chrono::milliseconds timeout) {
+    const auto response = request(operators, "GET", "/healthz", {}, timeout);
+    return response && response->status == 200;
+}
+
+result<daemon_sample> read_status(const std::string& daemon, const common::endpoint& operators,
+                                  std::chrono::milliseconds timeout) {
+    const auto body = read_body(operators, "/v1/status", timeout);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    return guarded("status", [&] {
+        const json document = json::parse(*body);
+        daemon_sample sample;
+        sample.daemon = daemon;
+        sample.at = common::wall_now();
+        sample.ready = document.at("ready").get<bool>();
+        sample.version = document.at("version").get<std::uint64_t>();
+        sample.digest = plain_text(document.at("digest"));
+        sample.members_alive = document.at("members_alive").get<std::size_t>();
+        return sample;
+    });
+}
+
+result<std::vector<telemetry::timeline_event>> read_timeline(const common::endpoint& operators) {
+    const auto body = read_body(operators, "/v1/timeline?limit=8192", control_timeout);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    return guarded("timeline", [&] {
+        const json document = json::parse(*body);
+        std::vector<telemetry::timeline_event> events;
+        for (const json& item : document.at("events")) {
+            telemetry::timeline_event event;
+            event.at = {wall_time_of(item.at("wall_us")), item.at("counter").get<std::uint32_t>()};
+            event.host = item.at("host").get<std::string>();
+            event.number = item.at("number").get<std::uint16_t>();
+            event.level = item.value("level", "");
+            event.channel = item.value("channel", "");
+            event.text = item.value("text", "");
+            const json fields = item.value("fields", json::object());
+            for (const auto& [name, value] : fields.items()) {
+                event.fields[name] = plain_text(value);
+            }
+            events.push_back(std::move(event));
+        }
+        return events;
+    });
+}
+
+result<void> block_links(const common::endpoint& operators, const std::vector<std::string>& addresses) {
+    const json body{{"blocked", addresses}};
+    const auto response = request(operators, "POST", "/v1/testing/links", body.dump(), control_timeout);
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    if (response->status / 100 != 2) {
+        return tl::unexpected(describe(*response));
+    }
+    return {};
+}
+
+result<std::string> change_from_document(std::string_view document, const std::string& change_id) {
+    const json parsed = json::parse(document, nullptr, false);
+    if (parsed.is_discarded()) {
+        return tl::unexpected(std::string("the document is no JSON"));
+    }
+    return guarded("document", [&] {
+        json change = empty_change(change_id);
+        if (parsed.is_object() && parsed.contains("operations")) {
+            change["operations"] = parsed.at("operations");
+            return change.dump();
+        }
+        json resources = parsed;
+        if (parsed.is_object()) {
+            resources = parsed.contains("resources") ? parsed.at("resources") : json::array({parsed});
+        }
+        for (const json& resource : resources) {
+            change["operations"].push_back({{"put", resource}});
+        }
+        return change.dump();
+    });
+}
+
+std::string change_that_deletes(const std::string& kind, const std::string& name,
+                                const std::string& change_id) {
+    json change = empty_change(change_id);
+    change["operations"].push_back({{"delete", {{"kind", kind}, {"name", name}}}});
+    return change.dump();
+}
+
+result<change_answer> post_change(const common::endpoint& operators, const std::string& change) {
+    const auto response = request(operators, "POST", "/v1/changes", change, change_timeout);
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    return guarded("change", [&] {
+        change_answer answer;
+        answer.text = describe(*response);
+        const json document = json::parse(response->body, nullptr, false);
+        if (!document.is_object() || !document.contains("verdict")) {
+            answer.outcome_known = response->status / 100 == 4;
+            return answer;
+        }
+        answer.outcome_known = true;
+        answer.accepted = document.at("verdict").get<std::string>() == "accepted";
+        answer.duplicate = document.value("reason", "") == "duplicate";
+        answer.version = document.at("revision").get<std::uint64_t>();
+        return answer;
+    });
+}
+
+result<void> set_fault(const common::endpoint& standin, const std::string& mode,
+                       std::optional<std::chrono::milliseconds> delay) {
+    json body{{"mode", mode}};
+    if (delay) {
+        body["delay_ms"] = delay->count();
+    }
+    const auto response = request(standin, "POST", "/v1/faults", body.dump(), control_timeout);
+    if (!response) {
+        return tl::unexpected(response.error());
+    }
+    if (response->status / 100 != 2) {
+        return tl::unexpected(describe(*response));
+    }
+    return {};
+}
+
+result<std::vector<ledger_entry>> read_ledger(const common::endpoint& target) {
+    const auto body = read_body(target, "/v1/ledger", control_timeout);
+    if (!body) {
+        return tl::unexpected(body.error());
+    }
+    return guarded("ledger", [&] {
+        const json document = json::parse(*body);
+        std::vector<ledger_entry> entries;
+        for (const json& item : document.at("entries")) {
+            entries.push_back({item.at("id").get<std::string>(), item.value("method", ""),
+                               wall_time_of(item.at("begun_us"))});
+        }
+        return entries;
+    });
+}
+
+} // namespace boragehollow::scenario::control_api
--- /dev/null
+++ b/packages/scenario/src/sampler.cpp
@@ -0,0 +1,38 @@
+#include "sampler.hpp"
+
+#include "control_api.hpp"
+#include "interruptible_wait.hpp"
+
+#include <utility>
+
+namespace boragehollow::scenario {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds interval = 200ms;
+
+/// Short, since a paused daemon accepts connections and does not answer.
+constexpr std::chrono::milliseconds read_timeout = 300ms;
+
+} // namespace
+
+sampler::sampler(std::shared_ptr<const mesh_layout> layout, recorder& samples)
+    : m_layout(std::move(layout)), m_samples(samples),
+      m_duty("sampler", [this](const std::stop_token& stop) { run(stop); }) {}
+
+void sampler::run(const std::stop_token& stop) {
+    do {
+        for (const daemon_place& daemon : m_layout->daemons) {
+            if (stop.stop_requested()) {
+                return;
+            }
+            if (auto sample = control_api::read_status(daemon.name, daemon.operators, read_timeout)) {
+                m_samples.add_sample(std::move(*sample));
+            }
+        }
+    } while (wait_for(stop, interval));
+}
+
+} // namespace boragehollow::scenario
--- /dev/null
+++ b/packages/scenario/tests/checker_test.cpp
@@ -0,0 +1,115 @@
+#include "boragehollow/scenario/checker.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace boragehollow::scenario {
+namespace {
+
+using namespace std::chrono_literals;
+using testing::ElementsAre;
+using testing::HasSubstr;
+using testing::IsEmpty;
+
+const common::wall_time start{1h};
+
+call_answer answered(const std::string& id, const std::string& method) {
+    call_answer answer;
+    answer.id = id;
+    answer.returned_id = id;
+    answer.method = method;
+    answer.outcome = call_outcome::answered;
+    answer.status = 200;
+    return answer;
+}
+
+daemon_sample sample(const std::string& daemon, std::uint64_t version, const std::string& digest,
+                     bool ready = true) {
+    daemon_sample result;
+    result.daemon = daemon;
+    result.version = version;
+    result.digest = digest;
+    result.ready = ready;
+    return result;
+}
+
+std::vector<std::string> guarantees(const observations& seen) {
+    std::vector<std::string> names;
+    for (const violation& each : check_promises(seen)) {
+        names.push_back(each.guarantee);
+    }
+    return names;
+}
+
+TEST(checker, accepts_a_run_that_kept_all_promises) {
+    observations seen;
+    seen.answers = {answered("1", "POST"), answered("2", "GET")};
+    call_answer unknown = answered("3", "POST");
+    unknown.outcome = call_outcome::unknown;
+    seen.answers.push_back(unknown);
+    seen.ledgers = {{"t1", {{"1", "POST", start}, {"2", "GET", start}}},
+                    {"t2", {{"2", "GET", start}, {"3", "POST", start}}}};
+    seen.samples = {sample("a", 1, "x"), sample("b", 1, "x"), sample("a", 2, "y")};
+    EXPECT_THAT(guarantees(seen), IsEmpty());
+}
+
+TEST(checker, finds_a_call_that_ran_although_it_was_answered_not_run) {
+    observations seen;
+    call_answer refused = answered("1", "POST");
+    refused.outcome = call_outcome::not_run;
+    seen.answers = {refused};
+    seen.ledgers = {{"t1", {{"1", "POST", start}}}};
+    EXPECT_THAT(guarantees(seen), ElementsAre("G5"));
+}
+
+TEST(checker, finds_a_non_idempotent_call_that_ran_twice) {
+    observations seen;
+    seen.ledgers = {{"t1", {{"1", "POST", start}}}, {"t2", {{"1", "POST", start}}}};
+    EXPECT_THAT(guarantees(seen), ElementsAre("G6"));
+    EXPECT_THAT(repeated_ids(seen.ledgers), ElementsAre("1"));
+}
+
+TEST(checker, finds_two_runs_under_one_idempotency_key) {
+    observations seen;
+    seen.answers = {answered("1", "POST"), answered("2", "POST")};
+    seen.answers[0].idempotency_key = "k";
+    seen.answers[1].idempotency_key = "k";
+    seen.ledgers = {{"t1", {{"1", "POST", start}, {"2", "POST", start}}}};
+    EXPECT_THAT(guarantees(seen), ElementsAre("G6"));
+}
+
+TEST(checker, finds_responses_that_belong_to_another_call_or_to_none) {
+    observations seen;
+    seen.answers = {answered("1", "GET"), answered("2", "GET"), answered("3", "GET")};
+    seen.answers[0].returned_id = "2";
+    seen.answers[1].body_matches = false;
+    seen.ledgers = {{"t1", {{"1", "GET", start}, {"2", "GET", start}}}};
+    EXPECT_THAT(guarantees(seen), ElementsAre("G4", "G4", "G4"));
+    seen.ledgers[0].complete = false;
+    EXPECT_THAT(guarantees(seen), ElementsAre("G4", "G4")) << "a ledger that was lost proves nothing";
+}
+
+// Guards against a checker that takes the loading of a restarted daemon for a reversal, or misses a real one.
+TEST(checker, finds_versions_that_decrease_and_configurations_that_differ) {
+    observations seen;
+    seen.samples = {sample("a", 5, "x"), sample("a", 0, "", false), sample("a", 5, "x")};
+    EXPECT_THAT(guarantees(seen), IsEmpty());
+    seen.samples.push_back(sample("a", 4, "w"));
+    EXPECT_THAT(guarantees(seen), ElementsAre("G1"));
+    seen.samples.push_back(sample("b", 5, "other"));
+    EXPECT_THAT(guarantees(seen), ElementsAre("G1", "G3"));
+}
+
+TEST(checker, finds_work_that_a_leaving_target_received_late) {
+    observations seen;
+    seen.departures = {{"t1", start, start + 10s}};
+    seen.ledgers = {{"t1", {{"1", "GET", start + 3s}, {"2", "GET", start + 11s}}}};
+    EXPECT_THAT(guarantees(seen), IsEmpty());
+    seen.ledgers[0].entries.push_back({"3", "GET", start + 4s});
+    const auto found = check_promises(seen);
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_THAT(found[0].detail, HasSubstr("4000 ms after it began to leave"));
+}
+
+} // namespace
+} // namespace boragehollow::scenario
--- /dev/null
+++ b/packages/scenario/tests/scenario_files_test.cpp
@@ -0,0 +1,69 @@
+#include "boragehollow/codec/resource_json.hpp"
+#include "boragehollow/config/validation.hpp"
+#include "boragehollow/scenario/parser.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace boragehollow::scenario {
+namespace {
+
+// Guards against scenario files that the runner cannot read, and against files of `apply` that do not exist.
+TEST(scenario_files, can_be_read) {
+    const std::filesystem::path folder = BORAGEHOLLOW_SCENARIO_FOLDER;
+    std::size_t files = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(folder)) {
+        if (entry.path().extension() != ".scn") {
+            continue;
+        }
+        ++files;
+        std::ostringstream text;
+        text << std::ifstream(entry.path()).rdbuf();
+        const auto parsed = parse_scenario(text.str());
+        if (!parsed) {
+            for (const parse_fault& fault : parsed.error()) {
+                ADD_FAILURE() << entry.path() << ":" << fault.line << ": " << fault.message;
+            }
+            continue;
+        }
+        EXPECT_TRUE(std::holds_alternative<check_statement>(parsed->back().body))
+            << entry.path() << " does not end with 'check promises'";
+        for (const statement& each : *parsed) {
+            const auto* apply = std::get_if<apply_statement>(&each.body);
+            if (apply != nullptr && !apply->file.empty()) {
+                EXPECT_TRUE(std::filesystem::exists(folder / apply->file))
+                    << entry.path() << ":" << each.line;
+            }
+        }
+    }
+    EXPECT_GE(files, 9U) << "one scenario for each guarantee G1 to G9";
+}
+
+// Guards against example files that an operator cannot apply.
+TEST(scenario_files, examples_hold_valid_resources) {
+    std::size_t resources = 0;
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(BORAGEHOLLOW_EXAMPLES_FOLDER)) {
+        if (entry.path().extension() != ".json") {
+            continue;
+        }
+        std::ostringstream text;
+        text << std::ifstream(entry.path()).rdbuf();
+        const auto document = codec::parse_json(text.str());
+        ASSERT_TRUE(document) << entry.path() << ": " << document.error().detail;
+        for (const auto& item : document->at("resources")) {
+            const auto resource = codec::from_json<config::resource>(item);
+            ASSERT_TRUE(resource) << entry.path() << ": " << to_string(resource.error().front());
+            const auto faults = config::validate(*resource);
+            EXPECT_TRUE(faults.empty())
+                << entry.path() << ": " << faults.front().field << " " << faults.front().detail;
+            ++resources;
+        }
+    }
+    EXPECT_GE(resources, 14U);
+}
+
+} // namespace
+} // namespace boragehollow::scenario
--- a/packages/settings/src/duration_text.hpp
+++ b/packages/settings/include/boragehollow/settings/duration_text.hpp
@@ -8,7 +8,7 @@
 
 namespace boragehollow::settings {
 
-/// Reads a whole number with a unit: `250ms`, `2s`, `10min`, `24h`. The error says what is expected.
+/// Reads a whole number with a unit: `250ms`, `2s`, `10m`, `24h`. The error says what is expected.
 tl::expected<std::chrono::milliseconds, std::string> parse_duration(std::string_view text);
 
 /// Writes a duration with the largest unit that divides it.
--- a/packages/settings/src/contradictions.cpp
+++ b/packages/settings/src/contradictions.cpp
@@ -1,6 +1,6 @@
 #include "contradictions.hpp"
 
-#include "duration_text.hpp"
+#include "boragehollow/settings/duration_text.hpp"
 
 #include <array>
 #include <string_view>
--- a/packages/settings/src/duration_text.cpp
+++ b/packages/settings/src/duration_text.cpp
@@ -1,4 +1,4 @@
-#include "duration_text.hpp"
+#include "boragehollow/settings/duration_text.hpp"
 
 #include <array>
 #include <charconv>
@@ -17,10 +17,10 @@
 using namespace std::chrono_literals;
 
 /// The largest unit first, so that format_duration picks the shortest text.
-constexpr std::array<unit, 4> units{{{"h", 1h}, {"min", 1min}, {"s", 1s}, {"ms", 1ms}}};
+constexpr std::array<unit, 4> units{{{"h", 1h}, {"m", 1min}, {"s", 1s}, {"ms", 1ms}}};
 
 constexpr std::string_view expectation =
-    "must be a whole number with a unit (ms, s, min or h), such as \"250ms\"";
+    "must be a whole number with a unit (ms, s, m or h), such as \"250ms\"";
 
 } // namespace
 
--- a/packages/settings/src/load.cpp
+++ b/packages/settings/src/load.cpp
@@ -1,8 +1,8 @@
 #include "boragehollow/settings/load.hpp"
 
 #include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/settings/duration_text.hpp"
 #include "contradictions.hpp"
-#include "duration_text.hpp"
 #include "entries.hpp"
 
 #include <algorithm>
@@ -66,7 +66,7 @@
 problem read_duration(const toml::node& node, milliseconds& target, milliseconds least, milliseconds most) {
     std::string text;
     if (read_text(node, text)) {
-        return "must be a string with a unit (ms, s, min or h), such as \"250ms\"";
+        return "must be a string with a unit (ms, s, m or h), such as \"250ms\"";
     }
     const auto parsed = parse_duration(text);
     if (!parsed) {
--- a/packages/settings/src/reference.cpp
+++ b/packages/settings/src/reference.cpp
@@ -1,6 +1,6 @@
 #include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/settings/duration_text.hpp"
 #include "boragehollow/settings/load.hpp"
-#include "duration_text.hpp"
 #include "entries.hpp"
 
 namespace boragehollow::settings {
@@ -74,7 +74,7 @@
     std::string text =
         "# Settings of the daemon\n\n"
         "`boragehollowd --settings FILE` reads a TOML file. Durations are strings with a unit (`ms`, "
-        "`s`, `min`, `h`);\naddresses are IP numbers with a port, IPv6 in brackets. The daemon "
+        "`s`, `m`, `h`);\naddresses are IP numbers with a port, IPv6 in brackets. The daemon "
         "reports all faults of the file at once, each with its\nkey and line, and does not start "
         "while one is left.\n";
     for (const section& each : sections()) {
--- /dev/null
+++ b/scenarios/interrupt_watch.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "boragehollow/common/duty.hpp"
+
+#include <memory>
+#include <stop_token>
+
+namespace boragehollow::scenario {
+
+/// Turns SIGINT and SIGTERM into a stop request. Must be created before any other thread, since it blocks
+/// both signals in the calling thread and in those that the thread starts.
+class interrupt_watch {
+public:
+    interrupt_watch();
+    ~interrupt_watch();
+
+    interrupt_watch(const interrupt_watch&) = delete;
+    interrupt_watch& operator=(const interrupt_watch&) = delete;
+
+    std::stop_token token() const { return m_interrupted.get_token(); }
+
+private:
+    void run() const;
+
+    std::stop_source m_interrupted;
+    int m_signal_descriptor = -1;
+    int m_end_descriptor = -1; ///< Becomes readable when the watch ends.
+    std::unique_ptr<common::duty> m_duty;
+};
+
+} // namespace boragehollow::scenario
--- /dev/null
+++ b/scenarios/temporary_directory.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <filesystem>
+
+namespace boragehollow::scenario {
+
+/// Directory that is removed with the object, unless it is to be kept.
+class temporary_directory {
+public:
+    /// Throws std::system_error when the directory cannot be made.
+    temporary_directory();
+    ~temporary_directory();
+
+    temporary_directory(const temporary_directory&) = delete;
+    temporary_directory& operator=(const temporary_directory&) = delete;
+
+    void keep() { m_kept = true; }
+    const std::filesystem::path& path() const { return m_path; }
+
+private:
+    std::filesystem::path m_path;
+    bool m_kept = false;
+};
+
+} // namespace boragehollow::scenario
