--- a/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
@@ -60,6 +60,9 @@
     admission_duty(admission::admission_settings settings, std::size_t ring_size);
     ~admission_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<admission_message>& ring() { return m_ring; }
 
     /// Asks and waits; empty when the ring is full or the deadline passed, which means that nothing was run.
--- a/packages/daemon/include/boragehollow/daemon/dispatch_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/dispatch_duty.hpp
@@ -48,6 +48,9 @@
     dispatch_duty(balancing::balancer_settings settings, common::random_source random, std::size_t ring_size);
     ~dispatch_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<dispatch_message>& ring() { return m_ring; }
 
     /// Asks and waits; empty when the ring is full or the deadline passed, which means that nothing was run.
--- a/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
+++ b/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
@@ -48,6 +48,9 @@
                      const common::published<mesh_view>& mesh, peer_sender_sinks sinks);
     ~peer_sender_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<peer_sender_message>& ring() { return m_ring; }
 
 private:
--- a/packages/daemon/include/boragehollow/daemon/target_front.hpp
+++ b/packages/daemon/include/boragehollow/daemon/target_front.hpp
@@ -52,6 +52,9 @@
     target_front_duty(target_front_settings settings, target_sink changed, const telemetry::event_log& events);
     ~target_front_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<target_front_message>& ring() { return m_ring; }
 
 private:
--- a/packages/daemon/include/boragehollow/daemon/timeline_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/timeline_duty.hpp
@@ -25,6 +25,9 @@
     timeline_duty(std::size_t ring_size, std::size_t kept_events);
     ~timeline_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<timeline_message>& ring() { return m_ring; }
 
     /// Sink for the event log: never waits, and displaces the oldest message when the ring is full.
--- a/packages/daemon/include/boragehollow/daemon/watch_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/watch_duty.hpp
@@ -29,6 +29,9 @@
     explicit watch_duty(std::size_t ring_size);
     ~watch_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<watch_message>& ring() { return m_ring; }
 
 private:
--- a/packages/daemon/src/admission_duty.cpp
+++ b/packages/daemon/src/admission_duty.cpp
@@ -9,7 +9,12 @@
 admission_duty::admission_duty(admission::admission_settings settings, std::size_t ring_size)
     : m_controller(settings), m_ring(ring_size), m_thread("admission", [this](const std::stop_token&) { run(); }) {}
 
-admission_duty::~admission_duty() { m_ring.close(); }
+admission_duty::~admission_duty() { stop(); }
+
+void admission_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
 
 std::optional<admission_answer> admission_duty::submit(admission::admission_request request,
                                                        common::steady_time deadline) {
--- a/packages/daemon/src/dispatch_duty.cpp
+++ b/packages/daemon/src/dispatch_duty.cpp
@@ -60,7 +60,12 @@
     : m_balancer(settings, std::move(random)), m_failure_domain(settings.failure_domain), m_ring(ring_size),
       m_thread("dispatch", [this](const std::stop_token&) { run(); }) {}
 
-dispatch_duty::~dispatch_duty() { m_ring.close(); }
+dispatch_duty::~dispatch_duty() { stop(); }
+
+void dispatch_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
 
 std::optional<choice_result> dispatch_duty::choose(balancing::attempt_request request, common::steady_time deadline) {
     choose_target message{std::move(request), {}};
--- a/packages/daemon/src/operator_front.cpp
+++ b/packages/daemon/src/operator_front.cpp
@@ -36,28 +36,46 @@
     return found == parameters.end() ? std::nullopt : parse_number(found->second);
 }
 
-/// `?expected=N`, or the header If-Match with the revision.
+std::string text_parameter(const web::server_exchange& exchange, const std::string& name) {
+    const auto parameters = web::parse_query(exchange.query());
+    const auto found = parameters.find(name);
+    return found == parameters.end() ? std::string() : found->second;
+}
+
 std::optional<common::revision> expected_revision(const web::server_exchange& exchange) {
-    if (const auto value = number_parameter(exchange, "expected")) {
-        return common::revision{*value};
-    }
-    std::string tag(exchange.header_value("If-Match").value_or(""));
-    std::erase(tag, '"');
-    const auto value = parse_number(tag);
+    const auto value = number_parameter(exchange, "expected_revision");
     return value ? std::optional<common::revision>(common::revision{*value}) : std::nullopt;
 }
 
 std::string change_id_of(const web::server_exchange& exchange) {
-    const auto given = exchange.header_value("Idempotency-Key");
-    if (given && !given->empty()) {
-        return std::string(*given);
+    std::string given = text_parameter(exchange, "change_id");
+    if (!given.empty()) {
+        return given;
     }
     thread_local common::random_source random = common::random_source::from_system();
     return random.identifier();
 }
 
-std::string author_of(const web::server_exchange& exchange) {
-    return std::string(exchange.header_value("boragehollow-author").value_or("operator"));
+std::string author_of(const web::server_exchange& exchange) { return text_parameter(exchange, "author"); }
+
+json resources_json(const config::config_snapshot& snapshot, std::optional<config::resource_kind> kind) {
+    json list = json::array();
+    for (const auto& [key, stored] : snapshot.resources) {
+        if (kind && key.kind != *kind) {
+            continue;
+        }
+        list.push_back(codec::to_json(stored));
+    }
+    return {{"version", snapshot.version.value}, {"resources", std::move(list)}};
+}
+
+/// The outcomes from `from` on are no longer all remembered.
+bool watch_needs_snapshot(const config::config_snapshot& snapshot, std::uint64_t from) {
+    if (snapshot.outcomes().empty()) {
+        return from <= snapshot.version.value;
+    }
+    const common::revision oldest = (*snapshot.outcomes().begin()).first;
+    return from < oldest.value && snapshot.outcomes().size() >= config::max_outcomes;
 }
 
 } // namespace
@@ -75,7 +93,7 @@
     } else if (first == "metrics") {
         serve_metrics(exchange);
     } else if (first != "v1") {
-        respond_error(exchange, 404, "not_found", "unknown path");
+        respond_not_run(exchange, 404, "not_found", "unknown path");
     } else if (second == "changes") {
         serve_changes(exchange, segments);
     } else if (second == "resources") {
@@ -89,18 +107,14 @@
     } else if (second == "testing") {
         serve_links(exchange);
     } else {
-        respond_error(exchange, 404, "not_found", "unknown path");
+        respond_not_run(exchange, 404, "not_found", "unknown path");
     }
 }
 
 void operator_front::serve_health(web::server_exchange& exchange) const {
     const daemon_status status = m_services.status();
-    const auto snapshot = m_services.snapshot();
     const bool healthy = status.ready && !status.stopping;
-    respond_json(exchange, healthy ? 200 : 503,
-                 {{"ready", status.ready},
-                  {"stopping", status.stopping},
-                  {"version", snapshot ? snapshot->version.value : 0}});
+    respond_json(exchange, healthy ? 200 : 503, {{"state", state_name(status)}});
 }
 
 void operator_front::serve_metrics(web::server_exchange& exchange) const {
@@ -112,20 +126,19 @@
         const auto snapshot = m_services.snapshot();
         const auto* outcome = snapshot ? snapshot->outcome_of(segments[2]) : nullptr;
         if (outcome == nullptr) {
-            respond_error(exchange, 404, "not_found", "no change with this id is remembered");
+            respond_not_run(exchange, 404, "not_found", "no change with this id is remembered");
             return;
         }
-        respond_json(exchange, 200,
-                     {{"outcome", codec::to_json(*outcome)}, {"progress", progress_json(m_services.progress(outcome->at))}});
+        respond_json(exchange, 200, codec::to_json(*outcome));
         return;
     }
     if (segments.size() != 2 || exchange.method() != "POST") {
-        respond_error(exchange, 405, "method_not_allowed", "POST /v1/changes or GET /v1/changes/{id}");
+        respond_not_run(exchange, 405, "method_not_allowed", "POST /v1/changes or GET /v1/changes/{id}");
         return;
     }
     const auto body = exchange.read_all(m_settings.max_body_bytes);
     if (!body) {
-        respond_error(exchange, 413, "body_too_large", body.error().detail);
+        respond_not_run(exchange, 413, "too_large", body.error().detail);
         return;
     }
     auto document = codec::parse_json(*body);
@@ -133,12 +146,6 @@
         respond_faults(exchange, {document.error()});
         return;
     }
-    if (document->is_object() && !document->contains("change_id")) {
-        (*document)["change_id"] = change_id_of(exchange);
-    }
-    if (document->is_object() && !document->contains("author")) {
-        (*document)["author"] = author_of(exchange);
-    }
     const auto change = codec::from_json<config::change>(*document);
     if (!change) {
         respond_faults(exchange, change.error());
@@ -150,7 +157,7 @@
 void operator_front::serve_resources(web::server_exchange& exchange, const std::vector<std::string>& segments) {
     if (segments.size() < 4) {
         if (exchange.method() != "GET") {
-            respond_error(exchange, 405, "method_not_allowed", "GET lists resources");
+            respond_not_run(exchange, 405, "method_not_allowed", "GET lists resources");
             return;
         }
         list_resources(exchange, segments.size() == 3 ? segments[2] : "");
@@ -158,7 +165,7 @@
     }
     const auto kind = config::parse_resource_kind(segments[2]);
     if (!kind || segments.size() != 4) {
-        respond_error(exchange, 404, "not_found", "kinds are route, service_policy and target_rule");
+        respond_not_run(exchange, 404, "not_found", "kinds are route, service_policy and target_rule");
         return;
     }
     const config::resource_key key{*kind, segments[3]};
@@ -169,45 +176,34 @@
     } else if (exchange.method() == "DELETE") {
         delete_resource(exchange, key);
     } else {
-        respond_error(exchange, 405, "method_not_allowed", "GET, PUT or DELETE");
+        respond_not_run(exchange, 405, "method_not_allowed", "GET, PUT or DELETE");
     }
 }
 
 void operator_front::list_resources(web::server_exchange& exchange, const std::string& kind_name) const {
     const auto kind = config::parse_resource_kind(kind_name);
     if (!kind_name.empty() && !kind) {
-        respond_error(exchange, 404, "not_found", "kinds are route, service_policy and target_rule");
+        respond_not_run(exchange, 404, "not_found", "kinds are route, service_policy and target_rule");
         return;
     }
     const auto snapshot = m_services.snapshot();
-    json list = json::array();
-    if (snapshot) {
-        for (const auto& [key, stored] : snapshot->resources) {
-            if (kind && key.kind != *kind) {
-                continue;
-            }
-            list.push_back(codec::to_json(stored));
-        }
-    }
-    respond_json(exchange, 200, {{"version", snapshot ? snapshot->version.value : 0}, {"resources", std::move(list)}});
+    respond_json(exchange, 200, resources_json(snapshot ? *snapshot : config::config_snapshot(), kind));
 }
 
 void operator_front::get_resource(web::server_exchange& exchange, const config::resource_key& key) const {
     const auto snapshot = m_services.snapshot();
     const auto* stored = snapshot ? snapshot->find(key) : nullptr;
     if (stored == nullptr) {
-        respond_error(exchange, 404, "not_found", "no resource with this kind and name");
+        respond_not_run(exchange, 404, "not_found", "no resource with this kind and name");
         return;
     }
-    json body = codec::to_json(*stored);
-    body["version"] = snapshot->version.value;
-    respond_json(exchange, 200, body);
+    respond_json(exchange, 200, codec::to_json(*stored));
 }
 
 void operator_front::put_resource(web::server_exchange& exchange, const config::resource_key& key) {
     const auto body = exchange.read_all(m_settings.max_body_bytes);
     if (!body) {
-        respond_error(exchange, 413, "body_too_large", body.error().detail);
+        respond_not_run(exchange, 413, "too_large", body.error().detail);
         return;
     }
     auto document = codec::parse_json(*body);
@@ -221,7 +217,7 @@
         return;
     }
     if (config::key_of(*value) != key) {
-        respond_error(exchange, 400, "invalid_body", "kind or name differ from the path");
+        respond_not_run(exchange, 400, "bad_request", "kind or name differ from the path");
         return;
     }
     config::change change{change_id_of(exchange), author_of(exchange), config::newest_known_schema, {}};
@@ -250,12 +246,10 @@
 
 void operator_front::serve_status(web::server_exchange& exchange) const {
     const auto snapshot = m_services.snapshot();
-    json body = status_json(m_services.status(), snapshot.get());
     const auto revision = number_parameter(exchange, "revision");
     const common::revision version =
         revision ? common::revision{*revision} : (snapshot ? snapshot->version : common::revision{});
-    body["progress"] = progress_json(m_services.progress(version));
-    respond_json(exchange, 200, body);
+    respond_json(exchange, 200, status_json(m_services.status(), snapshot.get(), m_services.progress(version)));
 }
 
 void operator_front::serve_timeline(web::server_exchange& exchange) const {
@@ -275,44 +269,29 @@
 void operator_front::serve_watch(web::server_exchange& exchange) {
     const auto snapshot = m_services.snapshot();
     const common::revision current = snapshot ? snapshot->version : common::revision{};
-    const common::revision from{number_parameter(exchange, "from").value_or(current.value)};
+    const std::uint64_t from = number_parameter(exchange, "from").value_or(current.value + 1);
     const auto outcomes = std::make_shared<watch_ring>(m_settings.watch_ring_size);
-    if (!m_services.watch({from, outcomes})) {
-        respond_error(exchange, 503, "busy", "too many requests");
+    if (!m_services.watch({common::revision{from == 0 ? 0 : from - 1}, outcomes})) {
+        respond_not_run(exchange, 503, "overloaded", "too many watches are being opened");
         return;
     }
-    m_events.emit(telemetry::event_number::operator_watch_opened, {{"from", from.value}});
-    exchange.begin_response(200, {{"Content-Type", "application/x-ndjson"}}, std::nullopt);
-    const auto send = [&](const json& line) { return exchange.write(codec::dump_json(line) + "\n"); };
-    std::optional<mesh_progress> pending;
+    m_events.emit(telemetry::event_number::operator_watch_opened, {{"from", from}});
+    bool open = exchange.begin_response(200, {{"Content-Type", "application/x-ndjson"}}, std::nullopt);
+    if (open && snapshot && watch_needs_snapshot(*snapshot, from)) {
+        open = exchange.write(codec::dump_json({{"snapshot", resources_json(*snapshot, std::nullopt)}}) + "\n");
+    }
     common::steady_time next_heartbeat = common::steady_clock::now();
-    bool open = true;
     while (open && !m_stopping) {
         const auto outcome = outcomes->pop_until(common::steady_clock::now() + watch_poll);
+        const common::steady_time now = common::steady_clock::now();
         if (outcome) {
-            json line = codec::to_json(*outcome);
-            line["type"] = "outcome";
-            open = send(line);
-            if (std::holds_alternative<config::accepted>(outcome->result)) {
-                pending = mesh_progress{outcome->at, {}};
-            }
+            open = exchange.write(codec::dump_json(codec::to_json(*outcome)) + "\n");
         } else if (outcomes->closed()) {
             break;
-        }
-        if (open && pending) {
-            pending = m_services.progress(pending->version);
-            json line = progress_json(*pending);
-            line["type"] = "progress";
-            open = send(line);
-            if (pending->everywhere()) {
-                pending.reset();
-            }
-        }
-        const common::steady_time now = common::steady_clock::now();
-        if (open && now >= next_heartbeat) {
+        } else if (now >= next_heartbeat) {
+            // An empty line shows the client that the connection is alive, and this side that the client is.
             next_heartbeat = now + watch_heartbeat;
-            const auto latest = m_services.snapshot();
-            open = send({{"type", "heartbeat"}, {"version", latest ? latest->version.value : 0}});
+            open = exchange.write("\n");
         }
     }
     exchange.finish_response();
@@ -322,20 +301,20 @@
 void operator_front::serve_links(web::server_exchange& exchange) {
     if (!m_services.block_links) {
         m_events.emit(telemetry::event_number::testing_refused, {});
-        respond_error(exchange, 403, "forbidden", "testing.allow_fault_injection is false");
+        respond_not_run(exchange, 403, "forbidden", "testing.allow_fault_injection is false");
         return;
     }
     const auto body = exchange.read_all(m_settings.max_body_bytes);
     auto document = codec::parse_json(body ? *body : "");
     if (!document || !document->is_object() || !(*document)["blocked"].is_array()) {
-        respond_error(exchange, 400, "invalid_body", "expected {\"blocked\": [\"ADDRESS:PORT\", ...]}");
+        respond_not_run(exchange, 400, "bad_request", "expected {\"blocked\": [\"ADDRESS:PORT\", ...]}");
         return;
     }
     std::set<common::endpoint> blocked;
     for (const json& entry : (*document)["blocked"]) {
         const auto parsed = common::parse_endpoint(entry.is_string() ? entry.get<std::string>() : "");
         if (!parsed) {
-            respond_error(exchange, 400, "invalid_body", parsed.error());
+            respond_not_run(exchange, 400, "bad_request", parsed.error());
             return;
         }
         blocked.insert(*parsed);
--- a/packages/daemon/src/operator_json.cpp
+++ b/packages/daemon/src/operator_json.cpp
@@ -2,7 +2,12 @@
 
 #include "boragehollow/common/overloaded.hpp"
 
+#include "boragehollow/config/limits.hpp"
+
 #include <algorithm>
+#include <array>
+#include <cstdio>
+#include <ctime>
 #include <numeric>
 
 namespace boragehollow::daemon {
@@ -11,7 +16,7 @@
 
 using codec::json;
 
-std::string state_name(membership::target_state state) {
+std::string target_state_name(membership::target_state state) {
     switch (state) {
     case membership::target_state::none:
         return "none";
@@ -27,21 +32,49 @@
     return "none";
 }
 
+/// 16 hexadecimal digits, since many JSON readers keep only 53 bits of a number.
+std::string digest_text(std::uint64_t digest) {
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(digest));
+    return text.data();
+}
+
+/// RFC 3339 in UTC, with microseconds so that the text keeps the order of the events.
+std::string time_text(common::wall_time time) {
+    const auto since_epoch = time.time_since_epoch();
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(since_epoch);
+    const std::time_t whole = seconds.count();
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    std::array<char, 32> date{};
+    std::strftime(date.data(), date.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 48> text{};
+    std::snprintf(text.data(), text.size(), "%s.%06lldZ", date.data(),
+                  static_cast<long long>((since_epoch - seconds).count()));
+    return text.data();
+}
+
 json event_json(const telemetry::timeline_event& event) {
-    return {{"time_us", event.at.wall.time_since_epoch().count()},
+    return {{"time", time_text(event.at.wall)},
+            {"wall_us", event.at.wall.time_since_epoch().count()},
             {"counter", event.at.counter},
             {"host", event.host},
             {"event", telemetry::event_code(event.number)},
+            {"number", event.number},
             {"level", event.level},
-            {"channel", event.channel},
-            {"text", event.text},
+            {"component", event.channel},
+            {"message", event.text},
             {"fields", event.fields}};
 }
 
-int status_of(const config::rejected& rejection) {
-    constexpr int conflict = 409;
-    constexpr int unprocessable = 422;
-    return rejection.reason == config::rejection_reason::revision_conflict ? conflict : unprocessable;
+json error_json(std::string_view outcome, const std::string& reason, const std::string& detail) {
+    return {{"outcome", outcome}, {"reason", reason}, {"detail", detail}};
+}
+
+void respond_error(web::server_exchange& exchange, int status, std::string_view outcome, const json& body) {
+    exchange.respond(status,
+                     {{"Content-Type", "application/json"}, {"boragehollow-outcome", std::string(outcome)}},
+                     codec::dump_json(body) + "\n");
 }
 
 } // namespace
@@ -65,39 +98,47 @@
 json progress_json(const mesh_progress& progress) {
     json domains = json::array();
     for (const domain_progress& domain : progress.domains) {
-        domains.push_back({{"failure_domain", domain.failure_domain},
-                           {"answered", domain.answered},
-                           {"members", domain.members},
-                           {"in_force", domain.in_force}});
+        json entry{{"failure_domain", domain.failure_domain}, {"revision", progress.version.value}};
+        entry["daemons"] = domain.answered ? json(domain.members) : json(nullptr);
+        entry["at_revision"] = domain.answered ? json(domain.in_force) : json(nullptr);
+        domains.push_back(std::move(entry));
+    }
+    return domains;
+}
+
+std::string_view state_name(const daemon_status& status) {
+    if (status.stopping) {
+        return "draining";
     }
-    return {{"revision", progress.version.value},
-            {"in_force", progress.in_force()},
-            {"members", progress.members()},
-            {"everywhere", progress.everywhere()},
-            {"domains", std::move(domains)}};
+    return status.ready ? "ready" : "starting";
 }
 
-json status_json(const daemon_status& status, const config::config_snapshot* snapshot) {
+json status_json(const daemon_status& status, const config::config_snapshot* snapshot,
+                 const mesh_progress& progress) {
     json target = nullptr;
     if (status.target) {
         target = {{"service", status.target->target.service},
                   {"address", common::to_string(status.target->address)},
                   {"slots", status.target->target.slots},
-                  {"state", state_name(status.target->target.state)},
+                  {"state", target_state_name(status.target->target.state)},
                   {"labels", status.target->target.labels}};
     }
-    // The digest is written as text, since many JSON readers keep only 53 bits of a number.
     return {{"host", status.host},
             {"failure_domain", status.failure_domain},
+            {"state", state_name(status)},
             {"ready", status.ready},
-            {"stopping", status.stopping},
             {"version", snapshot != nullptr ? snapshot->version.value : 0},
-            {"digest", snapshot != nullptr ? std::to_string(snapshot->digest) : "0"},
+            {"digest", digest_text(snapshot != nullptr ? snapshot->digest : 0)},
+            {"active_schema", snapshot != nullptr ? snapshot->active_schema : 1},
+            {"newest_known_schema", config::newest_known_schema},
             {"resources", snapshot != nullptr ? snapshot->resources.size() : 0},
             {"log_reader", status.log_reader},
             {"compactor", status.compactor},
-            {"hosts", {{"alive", status.alive}, {"suspect", status.suspect}, {"dead", status.dead}}},
-            {"target", std::move(target)}};
+            {"members_alive", status.alive},
+            {"members_suspect", status.suspect},
+            {"members_dead", status.dead},
+            {"target", std::move(target)},
+            {"in_force", progress_json(progress)}};
 }
 
 json timeline_json(const std::vector<host_timeline>& timelines) {
@@ -123,8 +164,9 @@
     exchange.respond(status, {{"Content-Type", "application/json"}}, codec::dump_json(body) + "\n");
 }
 
-void respond_error(web::server_exchange& exchange, int status, const std::string& error, const std::string& detail) {
-    respond_json(exchange, status, {{"error", error}, {"detail", detail}});
+void respond_not_run(web::server_exchange& exchange, int status, const std::string& reason,
+                     const std::string& detail) {
+    respond_error(exchange, status, "not_run", error_json("not_run", reason, detail));
 }
 
 void respond_faults(web::server_exchange& exchange, const codec::json_faults& faults) {
@@ -132,30 +174,25 @@
     for (const codec::json_fault& fault : faults) {
         list.push_back({{"kind", codec::to_string(fault.kind)}, {"field", fault.field}, {"detail", fault.detail}});
     }
-    respond_json(exchange, 400, {{"error", "invalid_body"}, {"faults", std::move(list)}});
+    json body = error_json("not_run", "bad_request", "the body has " + std::to_string(faults.size()) + " faults");
+    body["faults"] = std::move(list);
+    respond_error(exchange, 400, "not_run", body);
 }
 
 void respond_published(web::server_exchange& exchange, const config::change& change, const publish_result& result) {
     std::visit(common::overloaded{
                    [&](const change_judged& judged) {
                        const config::change_outcome outcome{change.change_id, judged.at, change.author, judged.result};
-                       const auto* rejection = std::get_if<config::rejected>(&judged.result);
-                       respond_json(exchange, rejection != nullptr ? status_of(*rejection) : 200,
-                                    codec::to_json(outcome));
+                       const bool good = std::holds_alternative<config::accepted>(judged.result);
+                       respond_json(exchange, good ? 200 : 409, codec::to_json(outcome));
                    },
                    [&](const change_not_appended& refused) {
-                       respond_json(exchange, 503,
-                                    {{"error", "not_appended"},
-                                     {"outcome", "not_run"},
-                                     {"change_id", change.change_id},
-                                     {"detail", refused.detail}});
+                       respond_not_run(exchange, 503, "platform_unreachable", refused.detail);
                    },
                    [&](const change_unknown& lost) {
-                       respond_json(exchange, 503,
-                                    {{"error", "append_unknown"},
-                                     {"outcome", "unknown"},
-                                     {"change_id", change.change_id},
-                                     {"detail", lost.detail}});
+                       json body = error_json("unknown", "platform_no_answer", lost.detail);
+                       body["change_id"] = change.change_id;
+                       respond_error(exchange, 503, "unknown", body);
                    }},
                result);
 }
--- a/packages/daemon/src/operator_json.hpp
+++ b/packages/daemon/src/operator_json.hpp
@@ -5,15 +5,22 @@
 #include "boragehollow/web/http_server.hpp"
 
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace boragehollow::daemon {
 
+/// Part of the status: on how many daemons of each domain a version is in force.
 codec::json progress_json(const mesh_progress& progress);
-codec::json status_json(const daemon_status& status, const config::config_snapshot* snapshot);
+codec::json status_json(const daemon_status& status, const config::config_snapshot* snapshot,
+                        const mesh_progress& progress);
 codec::json timeline_json(const std::vector<host_timeline>& timelines);
+std::string_view state_name(const daemon_status& status);
 
 void respond_json(web::server_exchange& exchange, int status, const codec::json& body);
-void respond_error(web::server_exchange& exchange, int status, const std::string& error, const std::string& detail);
+
+/// The request changed nothing.
+void respond_not_run(web::server_exchange& exchange, int status, const std::string& reason, const std::string& detail);
 void respond_faults(web::server_exchange& exchange, const codec::json_faults& faults);
 void respond_published(web::server_exchange& exchange, const config::change& change, const publish_result& result);
 
--- a/packages/daemon/src/peer_sender.cpp
+++ b/packages/daemon/src/peer_sender.cpp
@@ -15,7 +15,12 @@
     : m_settings(settings), m_client(client), m_mesh(mesh), m_sinks(std::move(sinks)), m_ring(settings.ring_size),
       m_thread("peer_sender", [this](const std::stop_token&) { run(); }) {}
 
-peer_sender_duty::~peer_sender_duty() { m_ring.close(); }
+peer_sender_duty::~peer_sender_duty() { stop(); }
+
+void peer_sender_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
 
 void peer_sender_duty::run() {
     while (auto message = m_ring.pop()) {
@@ -45,7 +50,7 @@
 void peer_sender_duty::handle(const spreading::pull& message) {
     const auto remote = resolve(message.peer);
     if (!remote) {
-        m_sinks.pulled(message.id, message.peer, tl::unexpected("the host is unknown"));
+        m_sinks.pulled(message.id, message.peer, tl::unexpected(std::string("the host is unknown")));
         return;
     }
     peer::v1::PullRequest request;
--- a/packages/daemon/src/target_front.cpp
+++ b/packages/daemon/src/target_front.cpp
@@ -78,7 +78,12 @@
     : m_settings(settings), m_changed(std::move(changed)), m_events(events), m_ring(settings.ring_size),
       m_thread("target_front", [this](const std::stop_token&) { run(); }) {}
 
-target_front_duty::~target_front_duty() { m_ring.close(); }
+target_front_duty::~target_front_duty() { stop(); }
+
+void target_front_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
 
 void target_front_duty::run() {
     while (true) {
--- a/packages/daemon/src/timeline_duty.cpp
+++ b/packages/daemon/src/timeline_duty.cpp
@@ -9,7 +9,12 @@
 timeline_duty::timeline_duty(std::size_t ring_size, std::size_t kept_events)
     : m_buffer(kept_events), m_ring(ring_size), m_thread("timeline", [this](const std::stop_token&) { run(); }) {}
 
-timeline_duty::~timeline_duty() { m_ring.close(); }
+timeline_duty::~timeline_duty() { stop(); }
+
+void timeline_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
 
 void timeline_duty::record(telemetry::timeline_event event) { m_ring.push_newest(std::move(event)); }
 
--- a/packages/daemon/src/watch_duty.cpp
+++ b/packages/daemon/src/watch_duty.cpp
@@ -5,7 +5,12 @@
 watch_duty::watch_duty(std::size_t ring_size)
     : m_ring(ring_size), m_thread("watch", [this](const std::stop_token&) { run(); }) {}
 
-watch_duty::~watch_duty() { m_ring.close(); }
+watch_duty::~watch_duty() { stop(); }
+
+void watch_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
 
 void watch_duty::run() {
     while (auto message = m_ring.pop()) {
--- /dev/null
+++ b/programs/boragehollowd/pipeline.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "boragehollow/settings/daemon_settings.hpp"
+
+#include <tl/expected.hpp>
+
+#include <memory>
+#include <string>
+
+namespace boragehollow::daemon {
+
+/// All duties of one daemon, joined.
+class pipeline {
+public:
+    struct parts;
+
+    /// Opens the listeners and starts the duties. The error names the listener that could not be opened.
+    static tl::expected<std::unique_ptr<pipeline>, std::string> start(const settings::daemon_settings& settings);
+
+    pipeline(const pipeline&) = delete;
+    pipeline& operator=(const pipeline&) = delete;
+    ~pipeline();
+
+    /// Refuses new work and waits until the last call has ended, or until the drain limit if there is one.
+    void drain();
+
+private:
+    explicit pipeline(std::unique_ptr<parts> started);
+
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace boragehollow::daemon
