Add the duties between the platform's log and the configuration in force

Cause: the decisions of the spreading engine, the configuration state and the log client have to run in threads that own their state. Change: log_reader_duty, spreading_duty, apply_duty and publisher_duty, joined by rings and sinks; stop() ends the threads of duties that send to each other before any of them is destroyed. The publisher looks for a lost append in the stream, and answers with a verdict, not appended, or unknown. The engine takes apply_refused in place of snapshot_rejected, since records can be refused too.

chunk format of log_codec is gone. Conclusion: a change goes from the operator's thread through the log and back to its verdict within one process; the pipeline still has to connect the duties with the peers.

--- a/packages/codec/include/boragehollow/codec/log_codec.hpp
+++ b/packages/codec/include/boragehollow/codec/log_codec.hpp
@@ -5,16 +5,11 @@
 
 #include <tl/expected.hpp>
 
-#include <cstddef>
-#include <cstdint>
-#include <map>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
-/// Messages of the platform's log service, and the chunks in which snapshots are stored there.
+/// Messages of the platform's log service.
 namespace boragehollow::codec {
 
 using common::revision;
@@ -32,26 +27,4 @@
 std::string encode_append_reply(revision offset);
 tl::expected<revision, std::string> decode_append_reply(std::string_view bytes);
 
-/// Records of the snapshot stream, each with at most `chunk_bytes` of the snapshot.
-std::vector<std::string> encode_snapshot_chunks(const spreading::encoded_snapshot& snapshot,
-                                                std::size_t chunk_bytes);
-
-/// Joins chunks. Chunks of several snapshots may be mixed, since two compactors can append at once.
-class snapshot_assembler {
-public:
-    /// Ignores a record that is no chunk.
-    void add(std::string_view record);
-
-    /// The complete snapshot with the highest version.
-    std::optional<spreading::encoded_snapshot> newest() const;
-
-private:
-    struct partial {
-        std::uint32_t count = 0;
-        std::map<std::uint32_t, std::string> chunks;
-    };
-
-    std::map<std::pair<revision, std::uint64_t>, partial> m_partials; ///< By version and digest.
-};
-
 } // namespace boragehollow::codec
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/log_reader_duty.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/random_source.hpp"
+#include "boragehollow/daemon/spreading_messages.hpp"
+#include "boragehollow/platform/log_client.hpp"
+#include "boragehollow/settings/daemon_settings.hpp"
+#include "boragehollow/telemetry/event_log.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace boragehollow::daemon {
+
+inline const std::string config_stream = "config";
+inline const std::string snapshot_stream = "snapshots";
+
+/// Receives what was read; it may wait for room.
+using log_reader_sink = std::function<void(spreading_message)>;
+
+/// Thread that reads the platform's streams while this daemon is a log reader, and appends snapshots. A long
+/// poll holds the thread; its messages wait until the poll ends.
+class log_reader_duty {
+public:
+    log_reader_duty(platform::log_client client, settings::platform_settings settings,
+                    common::random_source random, std::size_t ring_size, log_reader_sink sink,
+                    const telemetry::event_log& events);
+    ~log_reader_duty();
+
+    /// Ends the thread. Duties that send to each other are all stopped before any of them is destroyed.
+    void stop();
+
+    common::bounded_ring<log_reader_message>& ring() { return m_ring; }
+
+private:
+    void run();
+    void handle(const spreading::log_reading_changed& message);
+    void handle(const read_snapshot& message);
+    void handle(const store_snapshot& message);
+    void read_once();
+    void take(platform::log_page page);
+    void read_failed(const platform::log_error& error);
+
+    platform::log_client m_client;
+    settings::platform_settings m_settings;
+    common::random_source m_random;
+    log_reader_sink m_sink;
+    const telemetry::event_log& m_events;
+    bool m_active = false;
+    bool m_at_head = false; ///< Everything was read, so the next read may wait.
+    bool m_reachable = true;
+    common::revision m_position;
+    std::chrono::milliseconds m_backoff;
+    common::steady_time m_next_read;
+    common::bounded_ring<log_reader_message> m_ring;
+    common::duty m_thread;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/publisher_duty.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/random_source.hpp"
+#include "boragehollow/common/reply_slot.hpp"
+#include "boragehollow/daemon/notices.hpp"
+#include "boragehollow/daemon/operator_services.hpp"
+#include "boragehollow/platform/log_client.hpp"
+#include "boragehollow/settings/daemon_settings.hpp"
+#include "boragehollow/telemetry/event_log.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace boragehollow::daemon {
+
+/// Appends a change, unless its id is known already, and answers with its verdict.
+struct publish_change {
+    config::change change;
+    common::steady_time deadline;
+    common::reply_slot<publish_result> reply;
+};
+
+using publisher_message = std::variant<publish_change, config_changed>;
+
+/// Thread that appends operators' changes. An append whose answer was lost is looked for in the stream before
+/// it is repeated; a repetition is harmless, since the state recognises the change id.
+class publisher_duty {
+public:
+    publisher_duty(platform::log_client client, settings::platform_settings settings,
+                   common::random_source random, std::size_t ring_size, const telemetry::event_log& events);
+    ~publisher_duty();
+
+    /// Ends the thread. Duties that send to each other are all stopped before any of them is destroyed.
+    void stop();
+
+    /// A full ring refuses changes; `config_changed` waits for room.
+    common::bounded_ring<publisher_message>& ring() { return m_ring; }
+
+    /// Asks and waits for the verdict.
+    publish_result publish(config::change change, common::steady_time deadline);
+
+private:
+    /// The change is to be appended.
+    struct appending {};
+    /// An append may have taken effect: the stream is read from here to find out.
+    struct searching {
+        common::revision position;
+    };
+    /// The record is in the stream at this offset.
+    struct awaiting_verdict {
+        common::revision at;
+    };
+    using step = std::variant<appending, searching, awaiting_verdict>;
+
+    struct pending_change {
+        std::string change_id;
+        std::string record;
+        common::steady_time deadline;
+        common::reply_slot<publish_result> reply;
+        common::revision base; ///< Version before the first append: the record lies after it.
+        step next = appending{};
+        bool may_be_appended = false;
+        common::steady_time due;
+        std::chrono::milliseconds backoff;
+    };
+
+    void run();
+    void handle(publish_change& message);
+    void handle(const config_changed& message);
+    void advance_due(common::steady_time now);
+    std::optional<publish_result> advance(pending_change& pending, common::steady_time now);
+    std::optional<publish_result> take_step(pending_change& pending, appending& state);
+    std::optional<publish_result> take_step(pending_change& pending, searching& state);
+    std::optional<publish_result> take_step(pending_change& pending, awaiting_verdict& state);
+    std::optional<publish_result> known_verdict(const std::string& change_id) const;
+    std::optional<common::revision> find_record(const platform::log_page& page,
+                                                const std::string& change_id) const;
+    void wait_before_retry(pending_change& pending);
+    std::chrono::milliseconds call_limit(const pending_change& pending) const;
+    common::steady_time next_due() const;
+    void finish(pending_change& pending, publish_result result) const;
+    static publish_result given_up(const pending_change& pending, const std::string& detail);
+
+    platform::log_client m_client;
+    settings::platform_settings m_settings;
+    common::random_source m_random;
+    const telemetry::event_log& m_events;
+    std::shared_ptr<const config::config_snapshot> m_snapshot = std::make_shared<config::config_snapshot>();
+    std::list<pending_change> m_pending;
+    common::bounded_ring<publisher_message> m_ring;
+    common::duty m_thread;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/tests/log_path_test.cpp
@@ -0,0 +1,206 @@
+#include "boragehollow/common/published.hpp"
+#include "boragehollow/daemon/apply_duty.hpp"
+#include "boragehollow/daemon/log_reader_duty.hpp"
+#include "boragehollow/daemon/publisher_duty.hpp"
+#include "boragehollow/daemon/spreading_duty.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+namespace boragehollow::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+settings::platform_settings fast_platform() {
+    settings::platform_settings settings;
+    settings.request_timeout = 300ms;
+    settings.long_poll = 100ms;
+    settings.min_backoff = 10ms;
+    settings.max_backoff = 100ms;
+    return settings;
+}
+
+spreading::spreading_settings fast_spreading(const std::string& host) {
+    spreading::spreading_settings settings;
+    settings.host = host;
+    settings.first_pull_spread = 10ms;
+    settings.bootstrap_pull_interval = 20ms;
+    settings.lone_reader_delay = 0ms;
+    settings.platform_snapshot_retry = 50ms;
+    settings.compactor_settle = 0s;
+    return settings;
+}
+
+/// The duties between the platform's log and the configuration in force, joined as in a daemon.
+class log_path {
+public:
+    log_path(const std::string& host, const std::shared_ptr<platform::memory_log>& log,
+             log_path* peer = nullptr)
+        : m_log(log), m_peer(peer),
+          m_events(host, std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}),
+          m_publisher(platform::memory_log_client{log, host}, fast_platform(), common::random_source(1), 16,
+                      m_events),
+          m_apply(64,
+                  {[this](const codec::snapshot_pointer& state) { applied(state); },
+                   [this] { m_spreading.ring().try_push(handover_refused{}); }},
+                  m_events),
+          m_reader(
+              platform::memory_log_client{log, host}, fast_platform(), common::random_source(2), 16,
+              [this](spreading_message message) { m_spreading.ring().try_push(std::move(message)); },
+              m_events),
+          m_spreading(fast_spreading(host), common::random_source(3), 256, sinks(), m_events) {}
+
+    ~log_path() {
+        m_reader.stop();
+        m_spreading.stop();
+        m_apply.stop();
+        m_publisher.stop();
+    }
+
+    void join(spreading::peer_view view) { m_spreading.ring().try_push(std::move(view)); }
+
+    publish_result publish(const std::string& id, std::chrono::milliseconds limit = 3s) {
+        config::service_policy policy;
+        policy.name = "orders";
+        return m_publisher.publish({id, "test", 1, {config::put_operation{policy, std::nullopt}}},
+                                   common::steady_clock::now() + limit);
+    }
+
+    bool reaches(common::revision version, std::chrono::milliseconds limit = 5s) const {
+        const auto end = common::steady_clock::now() + limit;
+        while (common::steady_clock::now() < end) {
+            const auto state = m_newest.load();
+            if (m_ready && state && state->version >= version) {
+                return true;
+            }
+            std::this_thread::sleep_for(5ms);
+        }
+        return false;
+    }
+
+    codec::snapshot_pointer state() const { return m_newest.load(); }
+    bool ready() const { return m_ready; }
+
+private:
+    void applied(const codec::snapshot_pointer& state) {
+        m_newest.store(state);
+        m_spreading.ring().try_push(state_applied{state});
+        m_publisher.ring().try_push(config_changed{state});
+    }
+
+    spreading_sinks sinks() {
+        return {[](const spreading::push&) {}, [this](const spreading::pull& request) { pull(request); },
+                [this](apply_message message) { return m_apply.ring().try_push(std::move(message)); },
+                [this](log_reader_message message) { m_reader.ring().push_newest(std::move(message)); },
+                [this](bool ready) { m_ready = ready; }};
+    }
+
+    void pull(const spreading::pull& request) {
+        auto answer = m_peer != nullptr
+                          ? m_peer->m_spreading.answer_pull(request.request, common::steady_clock::now() + 1s)
+                          : std::nullopt;
+        if (answer) {
+            m_spreading.ring().try_push(pull_answered{request.id, request.peer, std::move(*answer)});
+        } else {
+            m_spreading.ring().try_push(pull_failed{request.id});
+        }
+    }
+
+    std::shared_ptr<platform::memory_log> m_log;
+    log_path* m_peer;
+    telemetry::event_log m_events;
+    common::published<config::config_snapshot> m_newest;
+    std::atomic<bool> m_ready = false;
+    publisher_duty m_publisher;
+    apply_duty m_apply;
+    log_reader_duty m_reader;
+    spreading_duty m_spreading;
+};
+
+struct fixture : testing::Test {
+    std::shared_ptr<platform::memory_log> log = std::make_shared<platform::memory_log>();
+    const spreading::peer_view lone_reader{{}, {}, {}, true, true};
+
+    std::uint64_t records() const { return log->counters().by_stream["config"].appends; }
+};
+
+using log_path_test = fixture;
+
+TEST_F(log_path_test, change_comes_into_force_and_is_answered_with_its_verdict) {
+    log_path daemon("a", log);
+    daemon.join(lone_reader);
+    const publish_result result = daemon.publish("c1");
+    const auto* judged = std::get_if<change_judged>(&result);
+    ASSERT_NE(judged, nullptr);
+    EXPECT_EQ(judged->at, common::revision{1});
+    EXPECT_TRUE(std::holds_alternative<config::accepted>(judged->result));
+    EXPECT_TRUE(daemon.reaches(common::revision{1}));
+    EXPECT_TRUE(std::holds_alternative<change_judged>(daemon.publish("c1")));
+    EXPECT_EQ(records(), 1U) << "a repeated change id is answered without a second append";
+}
+
+// An append that took effect but lost its answer must be answered with its verdict, and not be appended
+// twice.
+TEST_F(log_path_test, append_with_a_lost_answer_is_found_again) {
+    log_path daemon("a", log);
+    daemon.join(lone_reader);
+    log->set_switches({.lose_answers = 1});
+    const publish_result result = daemon.publish("c1");
+    ASSERT_TRUE(std::holds_alternative<change_judged>(result));
+    EXPECT_EQ(std::get<change_judged>(result).at, common::revision{1});
+    EXPECT_EQ(records(), 1U);
+}
+
+// "Not appended" is a promise; "unknown" is the answer when an earlier attempt may have taken effect.
+TEST_F(log_path_test, outage_is_told_apart_from_an_unknown_outcome) {
+    log_path daemon("a", log);
+    daemon.join(lone_reader);
+    log->set_switches({.outage = true});
+    EXPECT_TRUE(std::holds_alternative<change_not_appended>(daemon.publish("c1")));
+    EXPECT_EQ(records(), 0U);
+    log->set_switches({.slow = 400ms}); // longer than the limit of a request
+    EXPECT_TRUE(std::holds_alternative<change_unknown>(daemon.publish("c2", 900ms)));
+    log->set_switches({});
+    const publish_result again = daemon.publish("c2");
+    ASSERT_TRUE(std::holds_alternative<change_judged>(again)) << "the same id can be sent again";
+}
+
+// G1: a daemon that starts without state, when the first records have expired, gets the snapshot and the
+// rest.
+TEST_F(log_path_test, restart_after_expiry_uses_the_snapshot_stream) {
+    {
+        log_path first("a", log);
+        first.join(lone_reader);
+        first.publish("c1");
+        const auto end = common::steady_clock::now() + 5s;
+        while (log->counters().by_stream["snapshots"].appends == 0 && common::steady_clock::now() < end) {
+            std::this_thread::sleep_for(5ms);
+        }
+        first.publish("c2");
+    }
+    log->expire_before("config", common::revision{2});
+    log_path second("a", log);
+    second.join(lone_reader);
+    ASSERT_TRUE(second.reaches(common::revision{2}));
+    EXPECT_NE(second.state()->outcome_of("c1"), nullptr);
+}
+
+// G1: without the platform only a ready peer makes a starting daemon ready.
+TEST_F(log_path_test, peer_brings_a_daemon_up_while_the_platform_is_down) {
+    log_path reader("a", log);
+    log_path follower("b", log, &reader);
+    follower.join({{"a"}, {}, {"a"}, false, false});
+    std::this_thread::sleep_for(200ms);
+    EXPECT_FALSE(follower.ready());
+    reader.join(lone_reader);
+    ASSERT_TRUE(std::holds_alternative<change_judged>(reader.publish("c1")));
+    log->set_switches({.outage = true});
+    EXPECT_TRUE(follower.reaches(common::revision{1}));
+    EXPECT_EQ(follower.state()->digest, reader.state()->digest);
+}
+
+} // namespace
+} // namespace boragehollow::daemon
--- a/packages/platform/src/snapshot_stream.cpp
+++ b/packages/platform/src/snapshot_stream.cpp
@@ -7,12 +7,13 @@
 
 namespace {
 
-constexpr std::size_t chunk_bytes = 256 * 1024;
+constexpr std::uint64_t largest_window = 64;
 
-/// Reads [from, end) in as many pages as the service makes of it.
-tl::expected<void, log_error> read_range(const log_client& client, const std::string& stream, revision from,
-                                         revision end, codec::snapshot_assembler& assembler,
-                                         milliseconds timeout) {
+/// Reads [from, end) in as many pages as the service makes of it, and returns the newest state completed.
+tl::expected<codec::snapshot_pointer, log_error>
+read_range(const log_client& client, const std::string& stream, revision from, revision end,
+           codec::snapshot_assembler& assembler, milliseconds timeout) {
+    codec::snapshot_pointer newest;
     while (from < end) {
         const auto page = read(client, {stream, from, end.value - from.value, milliseconds(0)}, timeout);
         if (!page) {
@@ -22,16 +23,19 @@
             break;
         }
         for (const auto& record : page->records) {
-            assembler.add(*record.bytes);
+            // A damaged chunk leaves its own state incomplete; another state may still be whole.
+            if (auto completed = assembler.add(*record.bytes); completed && *completed) {
+                newest = std::move(*completed);
+            }
         }
         from = page->records.back().offset.next();
     }
-    return {};
+    return newest;
 }
 
 } // namespace
 
-tl::expected<std::optional<spreading::encoded_snapshot>, log_error>
+tl::expected<codec::snapshot_pointer, log_error>
 read_newest_snapshot(const log_client& client, const std::string& stream, milliseconds timeout) {
     const revision past_the_end{std::numeric_limits<std::int64_t>::max()};
     const auto extent = read(client, {stream, past_the_end, 1, milliseconds(0)}, timeout);
@@ -44,22 +48,19 @@
     std::uint64_t window = 1;
     while (read_from > first) {
         const revision start{std::max(first.value, read_from.value - std::min(window, read_from.value))};
-        if (auto done = read_range(client, stream, start, read_from, assembler, timeout); !done) {
-            return tl::unexpected(std::move(done.error()));
-        }
-        if (auto found = assembler.newest()) {
+        auto found = read_range(client, stream, start, read_from, assembler, timeout);
+        if (!found || *found) {
             return found;
         }
         read_from = start;
-        window = std::min<std::uint64_t>(window * 2, 64);
+        window = std::min(window * 2, largest_window);
     }
-    return std::nullopt;
+    return codec::snapshot_pointer();
 }
 
 tl::expected<void, log_error> append_snapshot(const log_client& client, const std::string& stream,
-                                              const spreading::encoded_snapshot& snapshot,
-                                              milliseconds timeout) {
-    for (const std::string& chunk : codec::encode_snapshot_chunks(snapshot, chunk_bytes)) {
+                                              const config::config_snapshot& state, milliseconds timeout) {
+    for (const std::string& chunk : codec::split_state(state)) {
         const auto offset = append(client, stream, chunk, timeout);
         if (!offset) {
             return tl::unexpected(offset.error());
--- a/packages/spreading/include/boragehollow/spreading/settings.hpp
+++ b/packages/spreading/include/boragehollow/spreading/settings.hpp
@@ -38,8 +38,9 @@
     std::size_t retained_bytes = 4 * 1024 * 1024;
 
     std::size_t snapshot_transfers = 8;
-    /// Frees the place of a transfer whose end was never reported.
-    milliseconds snapshot_transfer_limit{10'000};
+    /// Frees the place of a transfer whose end was not reported: the peer server does not see when the last
+    /// byte has left.
+    milliseconds snapshot_transfer_limit{3'000};
     milliseconds snapshot_retry_delay{500};
 
     std::chrono::hours floor_retention{24};
--- a/packages/spreading/include/boragehollow/spreading/spreading_engine.hpp
+++ b/packages/spreading/include/boragehollow/spreading/spreading_engine.hpp
@@ -61,8 +61,9 @@
     /// The apply duty's state is at `version`.
     effects applied(revision version, std::uint64_t digest, steady_time now);
 
-    /// The apply duty could not decode the snapshot with this version. It is asked for again elsewhere.
-    effects snapshot_rejected(revision version, steady_time now);
+    /// The apply duty did not take what was handed over: a snapshot that it could not decode, or records that
+    /// did not reach it. Everything after its state is fetched again.
+    effects apply_refused(steady_time now);
 
     effects members_changed(peer_view view, steady_time now);
 
--- a/packages/spreading/src/spreading_engine.cpp
+++ b/packages/spreading/src/spreading_engine.cpp
@@ -103,10 +103,10 @@
     hand_over_ready(out);
 }
 
-effects spreading_engine::snapshot_rejected(revision version, steady_time now) {
+effects spreading_engine::apply_refused(steady_time now) {
     effects out;
     begin_call(now, out);
-    if (m_applied < version && version <= m_store.last()) {
+    if (m_applied < m_store.last()) {
         m_store.restart_after(m_applied);
         m_next_pull = std::min(m_next_pull, now + jittered(m_settings.failed_pull_delay));
         restart_log_reading(out);
