--- a/packages/balancing/tests/slow_target_simulation_test.cpp
+++ b/packages/balancing/tests/slow_target_simulation_test.cpp
@@ -15,27 +15,32 @@
 };
 
 /// Ten targets of 6 slots with 5 ms of work a call. From the fourth of 20 s on, one takes ten times as long.
-/// Calls come at 3,000 a second. A target queues what exceeds its slots. Ejection is off, so that only the
-/// policy is compared.
+/// Calls come at 3,000 a second, spread over the senders. A target queues what exceeds its slots. Ejection is
+/// off, so that only the policy is compared.
 class target_fleet_simulation {
 public:
     using reporter = std::function<std::optional<piggybacked_load>(std::size_t target, std::uint32_t in_use,
                                                                    std::uint32_t queued)>;
 
-    explicit target_fleet_simulation(const config::balancing_policy& balancing, reporter report = {})
+    explicit target_fleet_simulation(const config::balancing_policy& balancing, reporter report = {},
+                                     std::uint64_t senders = 1)
         : m_report(std::move(report)) {
         config::service_policy policy;
         policy.name = "desk";
         policy.balancing = balancing;
         policy.ejection.consecutive_failures = 0;
         policy.ejection.latency_factor = 0;
-        m_balancer.update_policy(policy, {}, m_start);
         std::vector<target_view> views;
         views.reserve(target_count);
         for (int i = 0; i < target_count; ++i) {
             views.push_back(make_target(i));
         }
-        m_balancer.update_targets("desk", views, m_start);
+        for (std::uint64_t i = 0; i < senders; ++i) {
+            balancer& sender =
+                m_senders.emplace_back(balancer_settings{"near"}, common::random_source(18 + i));
+            sender.update_policy(policy, {}, m_start);
+            sender.update_targets("desk", views, m_start);
+        }
     }
 
     latencies run() {
@@ -57,6 +62,7 @@
     static constexpr std::size_t slow_target = 3;
 
     struct call {
+        std::size_t sender = 0;
         attempt_id id;
         steady_time arrived;
     };
@@ -70,9 +76,10 @@
         request.service = "desk";
         request.idempotent = true;
         request.deadline = now + hours(2);
-        const auto choice = m_balancer.choose(request, now);
+        const std::size_t sender = m_random.index(m_senders.size());
+        const auto choice = m_senders[sender].choose(request, now);
         const std::size_t index = std::stoul(choice->host.substr(1));
-        m_fleet.at(index).queue.push_back({choice->id, now});
+        m_fleet.at(index).queue.push_back({sender, choice->id, now});
         start(index, now);
     }
 
@@ -99,7 +106,7 @@
             const auto latency = std::chrono::duration_cast<microseconds>(now - done.arrived);
             const auto queued = static_cast<std::uint32_t>(one.queue.size());
             const auto load = m_report ? m_report(index, one.in_use, queued) : std::nullopt;
-            m_balancer.finished({done.id, attempt_outcome::answered, latency, load}, now);
+            m_senders[done.sender].finished({done.id, attempt_outcome::answered, latency, load}, now);
             if (done.arrived - m_start >= seconds(3)) {
                 m_latencies.push_back(static_cast<double>(latency.count()) / 1'000);
                 m_slow_calls += index == slow_target ? 1 : 0;
@@ -110,7 +117,7 @@
 
     steady_time m_start = steady_time(hours(2));
     common::random_source m_random{17};
-    balancer m_balancer{balancer_settings{"near"}, common::random_source(18)};
+    std::vector<balancer> m_senders;
     reporter m_report;
     std::array<target, target_count> m_fleet;
     std::multimap<steady_time, std::pair<std::size_t, call>> m_ends;
@@ -138,6 +145,19 @@
     EXPECT_GT(peak.slow_share, 0) << "the slow target is tried again now and then";
 }
 
+// Many daemons with little traffic each: every one of them has to meet the slow target to learn of it.
+TEST(slow_target_simulation, many_senders_with_few_calls_each_avoid_a_slow_target) {
+    const auto truth = [](std::size_t, std::uint32_t in_use, std::uint32_t queued) {
+        return std::optional(piggybacked_load{queued, in_use, 6});
+    };
+    const latencies random = target_fleet_simulation(config::random_choice{}, truth, 70).run();
+    const latencies peak = target_fleet_simulation(config::peak_ewma{}, truth, 70).run();
+    print("random, 70 senders", random);
+    print("peak EWMA, 70 senders", peak);
+    EXPECT_LT(peak.slow_share, 0.02);
+    EXPECT_LT(peak.p99_ms * 10, random.p99_ms);
+}
+
 // The slow target reports that it is idle; all others report the truth.
 TEST(slow_target_simulation, a_report_of_no_load_does_not_attract_calls_to_a_slow_target) {
     const auto lie = [](std::size_t index, std::uint32_t in_use, std::uint32_t queued) {
