--- a/packages/common/include/boragehollow/common/published.hpp
+++ b/packages/common/include/boragehollow/common/published.hpp
@@ -13,7 +13,9 @@
     /// Null until the first `store`.
     std::shared_ptr<const Value> load() const { return m_value.load(std::memory_order_acquire); }
 
-    void store(std::shared_ptr<const Value> value) { m_value.store(std::move(value), std::memory_order_release); }
+    void store(std::shared_ptr<const Value> value) {
+        m_value.store(std::move(value), std::memory_order_release);
+    }
 
 private:
     std::atomic<std::shared_ptr<const Value>> m_value;
--- a/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
@@ -66,7 +66,8 @@
     common::bounded_ring<admission_message>& ring() { return m_ring; }
 
     /// Asks and waits; empty when the ring is full or the deadline passed, which means that nothing was run.
-    std::optional<admission_answer> submit(admission::admission_request request, common::steady_time deadline);
+    std::optional<admission_answer> submit(admission::admission_request request,
+                                           common::steady_time deadline);
 
 private:
     void run();
--- a/packages/daemon/include/boragehollow/daemon/call_runner.hpp
+++ b/packages/daemon/include/boragehollow/daemon/call_runner.hpp
@@ -16,8 +16,8 @@
 
 namespace boragehollow::daemon {
 
-/// A call as its caller's daemon holds it. The first bytes of the body are kept until they cannot be needed for
-/// another attempt any more.
+/// A call as its caller's daemon holds it. The first bytes of the body are kept until they cannot be needed
+/// for another attempt any more.
 struct incoming_call {
     peer::call_head head; ///< `remaining`, `attempt` and `target_host` are filled in for each attempt.
     common::steady_time deadline;
@@ -33,8 +33,8 @@
     std::chrono::milliseconds connect_timeout{500};
 };
 
-/// Runs calls for callers: chooses targets, repeats attempts that were not run, hedges, and passes the response
-/// on. Used by many worker threads at once, each for one call.
+/// Runs calls for callers: chooses targets, repeats attempts that were not run, hedges, and passes the
+/// response on. Used by many worker threads at once, each for one call.
 class call_runner {
 public:
     call_runner(call_runner_settings settings, dispatch_duty& dispatch, target_runner& local,
@@ -58,10 +58,11 @@
                                            const std::vector<std::string>& tried, bool earlier_not_run) const;
     peer::call_head head_for(const incoming_call& call, const balancing::attempt_choice& choice,
                              std::size_t attempt) const;
-    attempt_report run_local(incoming_call& call, const balancing::attempt_choice& choice, std::size_t attempt,
-                             const body_source& body, caller_response& response);
+    attempt_report run_local(incoming_call& call, const balancing::attempt_choice& choice,
+                             std::size_t attempt, const body_source& body, caller_response& response);
     attempt_report run_remote(incoming_call& call, const balancing::attempt_choice& choice,
-                              std::vector<std::string>& tried, const body_source& body, caller_response& response);
+                              std::vector<std::string>& tried, const body_source& body,
+                              caller_response& response);
     void report(const balancing::attempt_choice& choice, balancing::attempt_outcome outcome,
                 common::steady_time started, std::optional<peer::target_load> load);
 
--- a/packages/daemon/include/boragehollow/daemon/dispatch_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/dispatch_duty.hpp
@@ -67,7 +67,8 @@
 
     balancing::balancer m_balancer;
     std::string m_failure_domain;
-    std::map<std::string, common::revision> m_service_revisions; ///< Newest revision of a policy and its rules.
+    std::map<std::string, common::revision>
+        m_service_revisions; ///< Newest revision of a policy and its rules.
     std::map<std::string, std::size_t> m_rule_counts;
     std::shared_ptr<const membership::target_directory> m_directory;
     common::bounded_ring<dispatch_message> m_ring;
--- a/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
@@ -65,8 +65,9 @@
 class membership_duty {
 public:
     membership_duty(membership::membership_engine engine, transport::udp_socket socket, std::string mesh,
-                    std::shared_ptr<common::hybrid_clock> clock, std::shared_ptr<const peer::link_filter> links,
-                    std::size_t ring_size, membership_sinks sinks, const telemetry::event_log& events);
+                    std::shared_ptr<common::hybrid_clock> clock,
+                    std::shared_ptr<const peer::link_filter> links, std::size_t ring_size,
+                    membership_sinks sinks, const telemetry::event_log& events);
     ~membership_duty();
 
     /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
@@ -76,7 +77,8 @@
 
     std::optional<membership::sync_reply> answer_sync(membership::sync_request request,
                                                       common::steady_time deadline);
-    std::optional<membership::progress_counts> progress(common::revision version, common::steady_time deadline);
+    std::optional<membership::progress_counts> progress(common::revision version,
+                                                        common::steady_time deadline);
 
 private:
     void run();
--- a/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
+++ b/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
@@ -16,7 +16,8 @@
     std::map<std::string, membership::member_ref, std::less<>> hosts;
 
     bool reachable(const membership::member& value) const {
-        return value.state == membership::member_state::alive || value.state == membership::member_state::suspect;
+        return value.state == membership::member_state::alive ||
+               value.state == membership::member_state::suspect;
     }
 
     /// Null when the host is unknown.
--- a/packages/daemon/include/boragehollow/daemon/peer_front.hpp
+++ b/packages/daemon/include/boragehollow/daemon/peer_front.hpp
@@ -20,7 +20,8 @@
     std::function<std::optional<spreading::pull_answer>(const spreading::pull_request&)> pull;
     std::function<std::optional<membership::sync_reply>(const membership::sync_request&)> sync;
     std::function<std::optional<membership::progress_counts>(common::revision)> progress;
-    std::function<std::optional<telemetry::timeline_page>(std::optional<common::hybrid_time>, std::size_t)> timeline;
+    std::function<std::optional<telemetry::timeline_page>(std::optional<common::hybrid_time>, std::size_t)>
+        timeline;
     std::string failure_domain;
 };
 
--- a/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
+++ b/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
@@ -31,7 +31,8 @@
     std::function<void(std::uint64_t id, const std::string& peer,
                        tl::expected<spreading::pull_answer, std::string> answer)>
         pulled;
-    std::function<void(const send_sync& request, tl::expected<membership::sync_reply, std::string> reply)> synced;
+    std::function<void(const send_sync& request, tl::expected<membership::sync_reply, std::string> reply)>
+        synced;
 };
 
 struct peer_sender_settings {
--- a/packages/daemon/include/boragehollow/daemon/target_front.hpp
+++ b/packages/daemon/include/boragehollow/daemon/target_front.hpp
@@ -49,7 +49,8 @@
 /// Thread that owns the announcement of the local target and notices its silence.
 class target_front_duty {
 public:
-    target_front_duty(target_front_settings settings, target_sink changed, const telemetry::event_log& events);
+    target_front_duty(target_front_settings settings, target_sink changed,
+                      const telemetry::event_log& events);
     ~target_front_duty();
 
     /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
--- a/packages/daemon/include/boragehollow/daemon/target_runner.hpp
+++ b/packages/daemon/include/boragehollow/daemon/target_runner.hpp
@@ -35,7 +35,8 @@
 /// Runs admitted calls on the target of this host. Used by many threads at once, each for one call.
 class target_runner {
 public:
-    target_runner(target_runner_settings settings, admission_duty& admission, telemetry::metric_registry& metrics);
+    target_runner(target_runner_settings settings, admission_duty& admission,
+                  telemetry::metric_registry& metrics);
 
     /// Admits the call, runs it and passes the response on. `first` holds the first bytes of the body.
     void run(const peer::call_head& head, peer::call_request_part first, const request_source& source,
@@ -46,7 +47,8 @@
 private:
     struct running_work;
 
-    std::optional<peer::call_failure> deadline_failure(const peer::call_head& head, common::steady_time deadline) const;
+    std::optional<peer::call_failure> deadline_failure(const peer::call_head& head,
+                                                       common::steady_time deadline) const;
     std::optional<web::client_connection> acquire(peer::call_failure& failure);
     admission::call_result transfer(running_work& work, const request_source& source, const reply_sink& sink);
     bool send_body(running_work& work, const request_source& source);
--- a/packages/daemon/src/admission_duty.cpp
+++ b/packages/daemon/src/admission_duty.cpp
@@ -7,9 +7,12 @@
 namespace boragehollow::daemon {
 
 admission_duty::admission_duty(admission::admission_settings settings, std::size_t ring_size)
-    : m_controller(settings), m_ring(ring_size), m_thread("admission", [this](const std::stop_token&) { run(); }) {}
+    : m_controller(settings), m_ring(ring_size),
+      m_thread("admission", [this](const std::stop_token&) { run(); }) {}
 
-admission_duty::~admission_duty() { stop(); }
+admission_duty::~admission_duty() {
+    stop();
+}
 
 void admission_duty::stop() {
     m_ring.close();
@@ -82,10 +85,12 @@
     message.reply.set(m_controller.status());
 }
 
-void admission_duty::deliver(const admission::admission_controller::effects& effects, common::steady_time now) {
+void admission_duty::deliver(const admission::admission_controller::effects& effects,
+                             common::steady_time now) {
     admission::admission_controller::effects followers;
     for (const admission::effect& effect : effects) {
-        const std::uint64_t ticket = std::visit([](const auto& concrete) { return concrete.id.value; }, effect);
+        const std::uint64_t ticket =
+            std::visit([](const auto& concrete) { return concrete.id.value; }, effect);
         const auto waiting = m_waiting.find(ticket);
         if (waiting == m_waiting.end()) {
             continue;
@@ -94,19 +99,20 @@
         m_waiting.erase(waiting);
         const auto status = m_controller.status();
         const bool delivered = std::visit(
-            common::overloaded{
-                [&](const admission::granted& granted) { return reply.set(admission_grant{granted.id, status}); },
-                [&](const admission::refused& refused) {
-                    reply.set(admission_refusal{refused.reason, refused.retry_after, status});
-                    return true;
-                }},
+            common::overloaded{[&](const admission::granted& granted) {
+                                   return reply.set(admission_grant{granted.id, status});
+                               },
+                               [&](const admission::refused& refused) {
+                                   reply.set(admission_refusal{refused.reason, refused.retry_after, status});
+                                   return true;
+                               }},
             effect);
         if (delivered) {
             continue;
         }
         // The asking thread gave up before the grant, so nothing was sent to the target.
-        auto freed = m_controller.finished({ticket}, std::chrono::microseconds(0), admission::call_result::not_started,
-                                           now);
+        auto freed = m_controller.finished({ticket}, std::chrono::microseconds(0),
+                                           admission::call_result::not_started, now);
         followers.insert(followers.end(), freed.begin(), freed.end());
     }
     if (!followers.empty()) {
--- a/packages/daemon/src/call_runner.cpp
+++ b/packages/daemon/src/call_runner.cpp
@@ -35,14 +35,18 @@
                          telemetry::metric_registry& metrics)
     : m_settings(std::move(settings)), m_dispatch(dispatch), m_local(local), m_channels(std::move(channels)),
       m_identity(std::move(identity)),
-      m_answered(metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "answered"}})),
-      m_not_run(metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "not_run"}})),
-      m_unknown(metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "unknown"}})),
-      m_aborted(metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "aborted"}})),
+      m_answered(
+          metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "answered"}})),
+      m_not_run(
+          metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "not_run"}})),
+      m_unknown(
+          metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "unknown"}})),
+      m_aborted(
+          metrics.add_counter("boragehollow_calls_total", "Calls by outcome", {{"outcome", "aborted"}})),
       m_retries(metrics.add_counter("boragehollow_retries_total", "Attempts after the first one")),
       m_hedges(metrics.add_counter("boragehollow_hedges_total", "Second attempts of hedged calls")),
-      m_latency(metrics.add_latency("boragehollow_call_seconds", "Time from the request to the end of the response")) {
-}
+      m_latency(metrics.add_latency("boragehollow_call_seconds",
+                                    "Time from the request to the end of the response")) {}
 
 void call_runner::run(incoming_call& call, const body_source& body, caller_response& response) {
     const common::steady_time started = common::steady_clock::now();
@@ -54,8 +58,9 @@
         const auto choice =
             m_dispatch.choose(request_for(call, kind, tried, !earlier_unknown), call.deadline);
         if (!choice || !*choice) {
-            call_failure failure = choice ? refusal_failure(choice->error())
-                                          : call_failure{call_outcome::not_run, "daemon_busy", "dispatch is full", {}};
+            call_failure failure =
+                choice ? refusal_failure(choice->error())
+                       : call_failure{call_outcome::not_run, "daemon_busy", "dispatch is full", {}};
             // The reason of the last attempt tells more than that no further one is allowed.
             if (last && failure.outcome == call_outcome::not_run) {
                 failure = *last;
@@ -125,7 +130,8 @@
     return head;
 }
 
-call_runner::attempt_report call_runner::run_local(incoming_call& call, const balancing::attempt_choice& choice,
+call_runner::attempt_report call_runner::run_local(incoming_call& call,
+                                                   const balancing::attempt_choice& choice,
                                                    std::size_t attempt, const body_source& body,
                                                    caller_response& response) {
     const common::steady_time started = common::steady_clock::now();
@@ -150,7 +156,8 @@
         complete = part.end;
         return response.pass(part, choice.host);
     };
-    m_local.run(head_for(call, choice, attempt), {std::nullopt, call.first_data, call.body_complete}, source, sink);
+    m_local.run(head_for(call, choice, attempt), {std::nullopt, call.first_data, call.body_complete}, source,
+                sink);
     if (response.started()) {
         constexpr int first_server_error = 500;
         const bool good = complete && response.status() < first_server_error;
@@ -166,7 +173,8 @@
     return result;
 }
 
-call_runner::attempt_report call_runner::run_remote(incoming_call& call, const balancing::attempt_choice& choice,
+call_runner::attempt_report call_runner::run_remote(incoming_call& call,
+                                                    const balancing::attempt_choice& choice,
                                                     std::vector<std::string>& tried, const body_source& body,
                                                     caller_response& response) {
     remote_attempts attempts(*this, call, tried, body, response);
--- a/packages/daemon/src/caller_front.cpp
+++ b/packages/daemon/src/caller_front.cpp
@@ -31,7 +31,9 @@
            path.ends_with("/..") || path.ends_with("/.");
 }
 
-bool is_safe_method(std::string_view method) { return method == "GET" || method == "HEAD" || method == "OPTIONS"; }
+bool is_safe_method(std::string_view method) {
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
 
 std::optional<std::chrono::milliseconds> remaining_of(const web::server_exchange& exchange) {
     const auto text = exchange.header_value(deadline_header);
@@ -47,11 +49,13 @@
 }
 
 call_failure match_failure(const routing::match_error& error) {
-    return std::visit(common::overloaded{
-                          [](const routing::no_route&) { return refuse("no_route", "no route matches host and path"); },
-                          [](const routing::method_not_allowed&) {
-                              return refuse("method_not_allowed", "no route matches the method");
-                          }},
+    return std::visit(common::overloaded{[](const routing::no_route&) {
+                                             return refuse("no_route", "no route matches host and path");
+                                         },
+                                         [](const routing::method_not_allowed&) {
+                                             return refuse("method_not_allowed",
+                                                           "no route matches the method");
+                                         }},
                       error);
 }
 
@@ -86,7 +90,8 @@
                            const common::published<routing::route_table>& routes, call_runner& runner,
                            telemetry::metric_registry& metrics)
     : m_settings(settings), m_state(state), m_routes(routes), m_runner(runner),
-      m_refused(metrics.add_counter("boragehollow_calls_refused_total", "Calls refused before a target was chosen")) {}
+      m_refused(metrics.add_counter("boragehollow_calls_refused_total",
+                                    "Calls refused before a target was chosen")) {}
 
 std::optional<call_failure> caller_front::refusal(const web::server_exchange& exchange) const {
     if (m_state.stopping) {
@@ -138,10 +143,12 @@
         call.first_data = std::move(first->data);
         call.body_complete = first->end || exchange.content_length() == call.first_data.size();
     }
-    m_runner.run(call, [&] { return read_part(exchange); }, response);
+    m_runner.run(
+        call, [&] { return read_part(exchange); }, response);
 }
 
-incoming_call caller_front::make_call(const web::server_exchange& exchange, const routing::matched_route& matched) {
+incoming_call caller_front::make_call(const web::server_exchange& exchange,
+                                      const routing::matched_route& matched) {
     incoming_call call;
     const config::route& route = *matched.route;
     std::chrono::milliseconds allowed = std::min(route.deadline, m_settings.longest_deadline);
@@ -155,7 +162,8 @@
     head.method = exchange.method();
     head.target = exchange.target();
     for (web::header& entry : web::end_to_end_headers(exchange.headers())) {
-        if (web::equal_names(entry.name, deadline_header) || web::equal_names(entry.name, "boragehollow-call-id")) {
+        if (web::equal_names(entry.name, deadline_header) ||
+            web::equal_names(entry.name, "boragehollow-call-id")) {
             continue;
         }
         head.headers.emplace_back(std::move(entry.name), std::move(entry.value));
--- a/packages/daemon/src/caller_response.cpp
+++ b/packages/daemon/src/caller_response.cpp
@@ -23,9 +23,9 @@
 };
 
 constexpr reason_status reason_statuses[] = {
-    {"bad_request", 400},     {"no_route", 404},      {"method_not_allowed", 405}, {"duplicate_key", 409},
-    {"duplicate_call", 409},  {"body_too_large", 413}, {"deadline_passed", 504},    {"timed_out", 504},
-    {"placement_lost", 409},
+    {"bad_request", 400},     {"no_route", 404},       {"method_not_allowed", 405},
+    {"duplicate_key", 409},   {"duplicate_call", 409}, {"body_too_large", 413},
+    {"deadline_passed", 504}, {"timed_out", 504},      {"placement_lost", 409},
 };
 
 } // namespace
@@ -42,9 +42,8 @@
 }
 
 std::string failure_body(const peer::call_failure& failure) {
-    const nlohmann::json body{{"outcome", outcome_name(failure.outcome)},
-                              {"reason", failure.reason},
-                              {"detail", failure.detail}};
+    const nlohmann::json body{
+        {"outcome", outcome_name(failure.outcome)}, {"reason", failure.reason}, {"detail", failure.detail}};
     return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
 }
 
--- a/packages/daemon/src/dispatch_duty.cpp
+++ b/packages/daemon/src/dispatch_duty.cpp
@@ -60,14 +60,17 @@
     : m_balancer(settings, std::move(random)), m_failure_domain(settings.failure_domain), m_ring(ring_size),
       m_thread("dispatch", [this](const std::stop_token&) { run(); }) {}
 
-dispatch_duty::~dispatch_duty() { stop(); }
+dispatch_duty::~dispatch_duty() {
+    stop();
+}
 
 void dispatch_duty::stop() {
     m_ring.close();
     m_thread.join();
 }
 
-std::optional<choice_result> dispatch_duty::choose(balancing::attempt_request request, common::steady_time deadline) {
+std::optional<choice_result> dispatch_duty::choose(balancing::attempt_request request,
+                                                   common::steady_time deadline) {
     choose_target message{std::move(request), {}};
     const auto reply = message.reply;
     if (!m_ring.try_push(dispatch_message(std::move(message)))) {
@@ -106,7 +109,8 @@
             continue;
         }
         // A removed rule leaves no newer revision behind, so the number of rules is compared too.
-        const bool same = m_service_revisions[name] == service.newest && m_rule_counts[name] == service.rules.size();
+        const bool same =
+            m_service_revisions[name] == service.newest && m_rule_counts[name] == service.rules.size();
         if (same) {
             continue;
         }
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -45,16 +45,18 @@
 
 } // namespace
 
-membership_duty::membership_duty(membership::membership_engine engine, transport::udp_socket socket, std::string mesh,
-                                 std::shared_ptr<common::hybrid_clock> clock,
+membership_duty::membership_duty(membership::membership_engine engine, transport::udp_socket socket,
+                                 std::string mesh, std::shared_ptr<common::hybrid_clock> clock,
                                  std::shared_ptr<const peer::link_filter> links, std::size_t ring_size,
                                  membership_sinks sinks, const telemetry::event_log& events)
-    : m_engine(std::move(engine)), m_socket(std::move(socket)), m_mesh(std::move(mesh)), m_clock(std::move(clock)),
-      m_links(std::move(links)), m_sinks(std::move(sinks)), m_events(events), m_ring(ring_size),
-      m_receiver("gossip_source", [this](const std::stop_token& stop) { receive(stop); }),
+    : m_engine(std::move(engine)), m_socket(std::move(socket)), m_mesh(std::move(mesh)),
+      m_clock(std::move(clock)), m_links(std::move(links)), m_sinks(std::move(sinks)), m_events(events),
+      m_ring(ring_size), m_receiver("gossip_source", [this](const std::stop_token& stop) { receive(stop); }),
       m_thread("membership", [this](const std::stop_token&) { run(); }) {}
 
-membership_duty::~membership_duty() { stop(); }
+membership_duty::~membership_duty() {
+    stop();
+}
 
 void membership_duty::stop() {
     m_receiver.request_stop();
@@ -123,35 +125,36 @@
 
 membership::membership_effects membership_duty::handle(membership_message& message, common::steady_time now) {
     return std::visit(
-        common::overloaded{
-            [&](const datagram_received& received) {
-                const common::revision version = applied_of(received.value.body);
-                if (version.value > 0) {
-                    m_sinks.version_heard(received.value.from_host, version);
-                }
-                return m_engine.receive(received.value, received.from, now);
-            },
-            [&](local_announcement_changed& changed) {
-                return m_engine.announce_local_target(std::move(changed.target), now);
-            },
-            [&](const local_version_changed& changed) { return m_engine.note_local_version(changed.version, now); },
-            [&](const sync_requested& requested) {
-                auto answer = m_engine.answer_sync(requested.request, now);
-                requested.reply.set(std::move(answer.reply));
-                return std::move(answer.effects);
-            },
-            [&](const sync_replied& replied) {
-                auto step = m_engine.sync_replied(replied.reply, now);
-                if (step.next) {
-                    m_sinks.sync(replied.host, replied.peer, std::move(*step.next));
-                }
-                return std::move(step.effects);
-            },
-            [&](const progress_requested& requested) {
-                requested.reply.set(m_engine.progress(requested.version));
-                return membership::membership_effects{};
-            },
-            [&](const leave_mesh&) { return m_engine.leave(now); }},
+        common::overloaded{[&](const datagram_received& received) {
+                               const common::revision version = applied_of(received.value.body);
+                               if (version.value > 0) {
+                                   m_sinks.version_heard(received.value.from_host, version);
+                               }
+                               return m_engine.receive(received.value, received.from, now);
+                           },
+                           [&](local_announcement_changed& changed) {
+                               return m_engine.announce_local_target(std::move(changed.target), now);
+                           },
+                           [&](const local_version_changed& changed) {
+                               return m_engine.note_local_version(changed.version, now);
+                           },
+                           [&](const sync_requested& requested) {
+                               auto answer = m_engine.answer_sync(requested.request, now);
+                               requested.reply.set(std::move(answer.reply));
+                               return std::move(answer.effects);
+                           },
+                           [&](const sync_replied& replied) {
+                               auto step = m_engine.sync_replied(replied.reply, now);
+                               if (step.next) {
+                                   m_sinks.sync(replied.host, replied.peer, std::move(*step.next));
+                               }
+                               return std::move(step.effects);
+                           },
+                           [&](const progress_requested& requested) {
+                               requested.reply.set(m_engine.progress(requested.version));
+                               return membership::membership_effects{};
+                           },
+                           [&](const leave_mesh&) { return m_engine.leave(now); }},
         message);
 }
 
--- a/packages/daemon/src/mesh_queries.cpp
+++ b/packages/daemon/src/mesh_queries.cpp
@@ -43,18 +43,21 @@
             progress_question question{index, {}};
             peer::v1::ProgressQuery query;
             query.set_version(version.value);
-            m_client.progress(mesh->find(reader)->peer, std::move(query), m_timeout,
-                              [slot = question.reply, domain](tl::expected<peer::v1::ProgressReply, peer::control_error> reply) {
-                                  if (!reply) {
-                                      slot.set(std::nullopt);
-                                      return;
-                                  }
-                                  slot.set(domain_progress{domain, true, reply->members(), reply->at_or_past()});
-                              });
+            m_client.progress(
+                mesh->find(reader)->peer, std::move(query), m_timeout,
+                [slot = question.reply,
+                 domain](tl::expected<peer::v1::ProgressReply, peer::control_error> reply) {
+                    if (!reply) {
+                        slot.set(std::nullopt);
+                        return;
+                    }
+                    slot.set(domain_progress{domain, true, reply->members(), reply->at_or_past()});
+                });
             questions.push_back(std::move(question));
         }
     }
-    const common::steady_time deadline = common::steady_clock::now() + m_timeout + std::chrono::milliseconds(100);
+    const common::steady_time deadline =
+        common::steady_clock::now() + m_timeout + std::chrono::milliseconds(100);
     for (const progress_question& question : questions) {
         const auto reply = question.reply.wait_until(deadline);
         if (!reply || !*reply) {
@@ -69,7 +72,8 @@
     return result;
 }
 
-std::vector<host_timeline> mesh_queries::timelines(std::optional<common::hybrid_time> since, std::size_t limit) const {
+std::vector<host_timeline> mesh_queries::timelines(std::optional<common::hybrid_time> since,
+                                                   std::size_t limit) const {
     std::vector<host_timeline> result;
     const auto mesh = m_mesh.load();
     if (!mesh) {
@@ -96,7 +100,8 @@
         slots.push_back(slot);
         result.push_back({host, false, {}});
     }
-    const common::steady_time deadline = common::steady_clock::now() + m_timeout + std::chrono::milliseconds(100);
+    const common::steady_time deadline =
+        common::steady_clock::now() + m_timeout + std::chrono::milliseconds(100);
     for (std::size_t index = 0; index < slots.size(); ++index) {
         auto page = slots[index].wait_until(deadline);
         if (!page || !*page) {
--- a/packages/daemon/src/mesh_view.cpp
+++ b/packages/daemon/src/mesh_view.cpp
@@ -45,8 +45,8 @@
 }
 
 std::size_t mesh_view::count(membership::member_state state) const {
-    return static_cast<std::size_t>(
-        std::count_if(hosts.begin(), hosts.end(), [&](const auto& entry) { return entry.second->state == state; }));
+    return static_cast<std::size_t>(std::count_if(
+        hosts.begin(), hosts.end(), [&](const auto& entry) { return entry.second->state == state; }));
 }
 
 } // namespace boragehollow::daemon
--- a/packages/daemon/src/operator_front.cpp
+++ b/packages/daemon/src/operator_front.cpp
@@ -56,7 +56,9 @@
     return random.identifier();
 }
 
-std::string author_of(const web::server_exchange& exchange) { return text_parameter(exchange, "author"); }
+std::string author_of(const web::server_exchange& exchange) {
+    return text_parameter(exchange, "author");
+}
 
 json resources_json(const config::config_snapshot& snapshot, std::optional<config::resource_kind> kind) {
     json list = json::array();
@@ -154,7 +156,8 @@
     publish(exchange, *change);
 }
 
-void operator_front::serve_resources(web::server_exchange& exchange, const std::vector<std::string>& segments) {
+void operator_front::serve_resources(web::server_exchange& exchange,
+                                     const std::vector<std::string>& segments) {
     if (segments.size() < 4) {
         if (exchange.method() != "GET") {
             respond_not_run(exchange, 405, "method_not_allowed", "GET lists resources");
@@ -235,9 +238,10 @@
     const publish_result result = m_services.publish(change);
     if (const auto* judged = std::get_if<change_judged>(&result)) {
         const bool good = std::holds_alternative<config::accepted>(judged->result);
-        m_events.emit(good ? telemetry::event_number::operator_change_accepted
-                           : telemetry::event_number::operator_change_rejected,
-                      {{"change_id", change.change_id}, {"revision", judged->at.value}, {"author", change.author}});
+        m_events.emit(
+            good ? telemetry::event_number::operator_change_accepted
+                 : telemetry::event_number::operator_change_rejected,
+            {{"change_id", change.change_id}, {"revision", judged->at.value}, {"author", change.author}});
     } else if (std::holds_alternative<change_unknown>(result)) {
         m_events.emit(telemetry::event_number::operator_change_unknown, {{"change_id", change.change_id}});
     }
@@ -249,13 +253,14 @@
     const auto revision = number_parameter(exchange, "revision");
     const common::revision version =
         revision ? common::revision{*revision} : (snapshot ? snapshot->version : common::revision{});
-    respond_json(exchange, 200, status_json(m_services.status(), snapshot.get(), m_services.progress(version)));
+    respond_json(exchange, 200,
+                 status_json(m_services.status(), snapshot.get(), m_services.progress(version)));
 }
 
 void operator_front::serve_timeline(web::server_exchange& exchange) const {
     const auto since = number_parameter(exchange, "since_us");
-    const auto limit = std::min<std::uint64_t>(number_parameter(exchange, "limit").value_or(default_timeline_limit),
-                                               max_timeline_limit);
+    const auto limit = std::min<std::uint64_t>(
+        number_parameter(exchange, "limit").value_or(default_timeline_limit), max_timeline_limit);
     const auto parameters = web::parse_query(exchange.query());
     const auto scope = parameters.find("scope");
     const bool whole_mesh = scope == parameters.end() || scope->second != "local";
@@ -278,7 +283,8 @@
     m_events.emit(telemetry::event_number::operator_watch_opened, {{"from", from}});
     bool open = exchange.begin_response(200, {{"Content-Type", "application/x-ndjson"}}, std::nullopt);
     if (open && snapshot && watch_needs_snapshot(*snapshot, from)) {
-        open = exchange.write(codec::dump_json({{"snapshot", resources_json(*snapshot, std::nullopt)}}) + "\n");
+        open =
+            exchange.write(codec::dump_json({{"snapshot", resources_json(*snapshot, std::nullopt)}}) + "\n");
     }
     common::steady_time next_heartbeat = common::steady_clock::now();
     while (open && !m_stopping) {
@@ -320,7 +326,8 @@
         blocked.insert(*parsed);
     }
     const bool cut = !blocked.empty();
-    m_events.emit(cut ? telemetry::event_number::testing_links_blocked : telemetry::event_number::testing_links_restored,
+    m_events.emit(cut ? telemetry::event_number::testing_links_blocked
+                      : telemetry::event_number::testing_links_restored,
                   {{"links", blocked.size()}});
     m_services.block_links(std::move(blocked));
     respond_json(exchange, 200, {{"blocked", (*document)["blocked"].size()}});
--- a/packages/daemon/src/operator_json.cpp
+++ b/packages/daemon/src/operator_json.cpp
@@ -86,13 +86,15 @@
 }
 
 std::size_t mesh_progress::members() const {
-    return std::accumulate(domains.begin(), domains.end(), std::size_t{0},
-                           [](std::size_t sum, const domain_progress& domain) { return sum + domain.members; });
+    return std::accumulate(
+        domains.begin(), domains.end(), std::size_t{0},
+        [](std::size_t sum, const domain_progress& domain) { return sum + domain.members; });
 }
 
 std::size_t mesh_progress::in_force() const {
-    return std::accumulate(domains.begin(), domains.end(), std::size_t{0},
-                           [](std::size_t sum, const domain_progress& domain) { return sum + domain.in_force; });
+    return std::accumulate(
+        domains.begin(), domains.end(), std::size_t{0},
+        [](std::size_t sum, const domain_progress& domain) { return sum + domain.in_force; });
 }
 
 json progress_json(const mesh_progress& progress) {
@@ -172,28 +174,32 @@
 void respond_faults(web::server_exchange& exchange, const codec::json_faults& faults) {
     json list = json::array();
     for (const codec::json_fault& fault : faults) {
-        list.push_back({{"kind", codec::to_string(fault.kind)}, {"field", fault.field}, {"detail", fault.detail}});
+        list.push_back(
+            {{"kind", codec::to_string(fault.kind)}, {"field", fault.field}, {"detail", fault.detail}});
     }
-    json body = error_json("not_run", "bad_request", "the body has " + std::to_string(faults.size()) + " faults");
+    json body =
+        error_json("not_run", "bad_request", "the body has " + std::to_string(faults.size()) + " faults");
     body["faults"] = std::move(list);
     respond_error(exchange, 400, "not_run", body);
 }
 
-void respond_published(web::server_exchange& exchange, const config::change& change, const publish_result& result) {
-    std::visit(common::overloaded{
-                   [&](const change_judged& judged) {
-                       const config::change_outcome outcome{change.change_id, judged.at, change.author, judged.result};
-                       const bool good = std::holds_alternative<config::accepted>(judged.result);
-                       respond_json(exchange, good ? 200 : 409, codec::to_json(outcome));
-                   },
-                   [&](const change_not_appended& refused) {
-                       respond_not_run(exchange, 503, "platform_unreachable", refused.detail);
-                   },
-                   [&](const change_unknown& lost) {
-                       json body = error_json("unknown", "platform_no_answer", lost.detail);
-                       body["change_id"] = change.change_id;
-                       respond_error(exchange, 503, "unknown", body);
-                   }},
+void respond_published(web::server_exchange& exchange, const config::change& change,
+                       const publish_result& result) {
+    std::visit(common::overloaded{[&](const change_judged& judged) {
+                                      const config::change_outcome outcome{change.change_id, judged.at,
+                                                                           change.author, judged.result};
+                                      const bool good =
+                                          std::holds_alternative<config::accepted>(judged.result);
+                                      respond_json(exchange, good ? 200 : 409, codec::to_json(outcome));
+                                  },
+                                  [&](const change_not_appended& refused) {
+                                      respond_not_run(exchange, 503, "platform_unreachable", refused.detail);
+                                  },
+                                  [&](const change_unknown& lost) {
+                                      json body = error_json("unknown", "platform_no_answer", lost.detail);
+                                      body["change_id"] = change.change_id;
+                                      respond_error(exchange, 503, "unknown", body);
+                                  }},
                result);
 }
 
--- a/packages/daemon/src/operator_json.hpp
+++ b/packages/daemon/src/operator_json.hpp
@@ -20,8 +20,10 @@
 void respond_json(web::server_exchange& exchange, int status, const codec::json& body);
 
 /// The request changed nothing.
-void respond_not_run(web::server_exchange& exchange, int status, const std::string& reason, const std::string& detail);
+void respond_not_run(web::server_exchange& exchange, int status, const std::string& reason,
+                     const std::string& detail);
 void respond_faults(web::server_exchange& exchange, const codec::json_faults& faults);
-void respond_published(web::server_exchange& exchange, const config::change& change, const publish_result& result);
+void respond_published(web::server_exchange& exchange, const config::change& change,
+                       const publish_result& result);
 
 } // namespace boragehollow::daemon
--- a/packages/daemon/src/peer_front.cpp
+++ b/packages/daemon/src/peer_front.cpp
@@ -46,8 +46,9 @@
     return [services, &events](const peer::v1::SyncRequest& request, peer::v1::SyncReply& reply) {
         const auto decoded = codec::read_sync_request(request);
         if (!decoded) {
-            events.emit(telemetry::event_number::peer_message_invalid,
-                        {{"from", request.header().from_host()}, {"detail", codec::to_string(decoded.error())}});
+            events.emit(
+                telemetry::event_number::peer_message_invalid,
+                {{"from", request.header().from_host()}, {"detail", codec::to_string(decoded.error())}});
             return false;
         }
         const auto answer = services->sync(*decoded);
@@ -79,7 +80,8 @@
     return [services](const peer::v1::TimelineQuery& request, peer::v1::TimelineReply& reply) {
         std::optional<common::hybrid_time> since;
         if (request.since_wall_us() > 0) {
-            since = common::hybrid_time{common::wall_time(std::chrono::microseconds(request.since_wall_us())), 0};
+            since =
+                common::hybrid_time{common::wall_time(std::chrono::microseconds(request.since_wall_us())), 0};
         }
         const auto page = services->timeline(since, request.limit());
         if (!page) {
@@ -103,10 +105,12 @@
     handlers.timeline = timeline_handler(shared);
     handlers.refused = [&events](const std::string& from, const std::string& reason) {
         const bool mesh = reason == "another mesh";
-        events.emit(mesh ? telemetry::event_number::peer_wrong_mesh : telemetry::event_number::peer_wrong_protocol,
+        events.emit(mesh ? telemetry::event_number::peer_wrong_mesh
+                         : telemetry::event_number::peer_wrong_protocol,
                     {{"from", from}, {"reason", reason}});
     };
-    handlers.call = [&runner](const peer::call_head& head, peer::call_request_part first, peer::call_stream& stream) {
+    handlers.call = [&runner](const peer::call_head& head, peer::call_request_part first,
+                              peer::call_stream& stream) {
         runner.run(
             head, std::move(first), [&] { return stream.read(); },
             [&](const peer::call_reply_part& part) { return stream.write(part); });
--- a/packages/daemon/src/peer_sender.cpp
+++ b/packages/daemon/src/peer_sender.cpp
@@ -12,10 +12,12 @@
 
 peer_sender_duty::peer_sender_duty(peer_sender_settings settings, peer::control_client& client,
                                    const common::published<mesh_view>& mesh, peer_sender_sinks sinks)
-    : m_settings(settings), m_client(client), m_mesh(mesh), m_sinks(std::move(sinks)), m_ring(settings.ring_size),
-      m_thread("peer_sender", [this](const std::stop_token&) { run(); }) {}
+    : m_settings(settings), m_client(client), m_mesh(mesh), m_sinks(std::move(sinks)),
+      m_ring(settings.ring_size), m_thread("peer_sender", [this](const std::stop_token&) { run(); }) {}
 
-peer_sender_duty::~peer_sender_duty() { stop(); }
+peer_sender_duty::~peer_sender_duty() {
+    stop();
+}
 
 void peer_sender_duty::stop() {
     m_ring.close();
@@ -56,7 +58,8 @@
     peer::v1::PullRequest request;
     codec::write_pull_request(message.request, request);
     m_client.pull(*remote, std::move(request), m_settings.pull_timeout,
-                  [this, id = message.id, peer = message.peer](tl::expected<peer::v1::PullReply, peer::control_error> reply) {
+                  [this, id = message.id,
+                   peer = message.peer](tl::expected<peer::v1::PullReply, peer::control_error> reply) {
                       if (!reply) {
                           m_sinks.pulled(id, peer, tl::unexpected(reply.error().detail));
                           return;
--- a/packages/daemon/src/remote_attempts.cpp
+++ b/packages/daemon/src/remote_attempts.cpp
@@ -59,8 +59,8 @@
 bool call_runner::remote_attempts::start(const balancing::attempt_choice& choice) {
     const common::steady_time started = common::steady_clock::now();
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.deadline - started);
-    const auto channel =
-        m_runner.m_channels->connected_channel(choice.peer, std::min(m_runner.m_settings.connect_timeout, left));
+    const auto channel = m_runner.m_channels->connected_channel(
+        choice.peer, std::min(m_runner.m_settings.connect_timeout, left));
     if (!channel) {
         m_runner.report(choice, attempt_outcome::failed, started, std::nullopt);
         m_report.failure = {call_outcome::not_run, "host_unreachable", "no connection to " + choice.host, {}};
@@ -134,7 +134,8 @@
     return m_body_complete ? next_step::wait : send_more_body(index);
 }
 
-call_runner::remote_attempts::next_step call_runner::remote_attempts::send_more_body(peer::attempt_index index) {
+call_runner::remote_attempts::next_step
+call_runner::remote_attempts::send_more_body(peer::attempt_index index) {
     auto part = m_body();
     m_report.body_consumed = true;
     if (!part) {
@@ -151,12 +152,14 @@
 call_runner::remote_attempts::next_step
 call_runner::remote_attempts::handle_lost(peer::attempt_index index, const peer::stream_lost& lost) {
     const call_outcome outcome = lost.not_run ? call_outcome::not_run : call_outcome::unknown;
-    return end_attempt(index, {outcome, lost.not_run ? "refused_by_host" : "host_lost",
-                               m_attempts[index].choice.host + ": " + lost.detail, {}});
+    return end_attempt(index, {outcome,
+                               lost.not_run ? "refused_by_host" : "host_lost",
+                               m_attempts[index].choice.host + ": " + lost.detail,
+                               {}});
 }
 
-call_runner::remote_attempts::next_step
-call_runner::remote_attempts::end_attempt(peer::attempt_index index, call_failure failure) {
+call_runner::remote_attempts::next_step call_runner::remote_attempts::end_attempt(peer::attempt_index index,
+                                                                                  call_failure failure) {
     attempt& ended = m_attempts[index];
     ended.active = false;
     const bool refused = failure.outcome == call_outcome::not_run;
@@ -196,7 +199,8 @@
             continue;
         }
         const auto* arrived = event ? std::get_if<peer::reply_arrived>(&event->what) : nullptr;
-        if (arrived == nullptr || arrived->part.failure || !m_response.pass(arrived->part, winner.choice.host)) {
+        if (arrived == nullptr || arrived->part.failure ||
+            !m_response.pass(arrived->part, winner.choice.host)) {
             m_exchange.cancel(index);
             m_response.abort();
             return next_step::done;
--- a/packages/daemon/src/target_front.cpp
+++ b/packages/daemon/src/target_front.cpp
@@ -78,7 +78,9 @@
     : m_settings(settings), m_changed(std::move(changed)), m_events(events), m_ring(settings.ring_size),
       m_thread("target_front", [this](const std::stop_token&) { run(); }) {}
 
-target_front_duty::~target_front_duty() { stop(); }
+target_front_duty::~target_front_duty() {
+    stop();
+}
 
 void target_front_duty::stop() {
     m_ring.close();
@@ -120,7 +122,9 @@
     set_current(std::move(draining));
 }
 
-void target_front_duty::handle(const query_target& message, common::steady_time) { message.reply.set(m_current); }
+void target_front_duty::handle(const query_target& message, common::steady_time) {
+    message.reply.set(m_current);
+}
 
 void target_front_duty::check_silence(common::steady_time now) {
     if (!m_current || now - m_last_heartbeat <= m_settings.heartbeat * m_settings.missed_heartbeats) {
@@ -139,7 +143,8 @@
     }
     if (next) {
         const bool draining = next->target.state == target_state::draining;
-        m_events.emit(draining ? telemetry::event_number::target_draining : telemetry::event_number::target_announced,
+        m_events.emit(draining ? telemetry::event_number::target_draining
+                               : telemetry::event_number::target_announced,
                       {{"service", next->target.service},
                        {"address", common::to_string(next->address)},
                        {"slots", next->target.slots}});
--- a/packages/daemon/src/target_runner.cpp
+++ b/packages/daemon/src/target_runner.cpp
@@ -3,8 +3,8 @@
 #include "boragehollow/common/overloaded.hpp"
 
 #include <algorithm>
-#include <array>
 #include <utility>
+#include <vector>
 
 namespace boragehollow::daemon {
 
@@ -23,10 +23,12 @@
 constexpr std::chrono::milliseconds answer_grace{50};
 
 peer::target_load load_of(const admission::admission_status& status) {
-    return {status.queued_short + status.queued_long, status.running_short + status.running_long, status.slots};
+    return {status.queued_short + status.queued_long, status.running_short + status.running_long,
+            status.slots};
 }
 
-void fail(const reply_sink& sink, call_failure failure, std::optional<peer::target_load> load = std::nullopt) {
+void fail(const reply_sink& sink, call_failure failure,
+          std::optional<peer::target_load> load = std::nullopt) {
     peer::call_reply_part part;
     part.failure = std::move(failure);
     part.load = load;
@@ -55,7 +57,8 @@
         headers.push_back({name, value});
     }
     headers.push_back({"boragehollow-call-id", head.call_id});
-    headers.push_back({"boragehollow-deadline-ms", std::to_string(std::max<std::int64_t>(1, remaining.count()))});
+    headers.push_back(
+        {"boragehollow-deadline-ms", std::to_string(std::max<std::int64_t>(1, remaining.count()))});
     return headers;
 }
 
@@ -90,10 +93,12 @@
       m_refused(metrics.add_counter("boragehollow_admission_refused_total", "Calls refused as not run")),
       m_broken(metrics.add_counter("boragehollow_target_broken_total", "Calls without a whole response")),
       m_wait(metrics.add_latency("boragehollow_admission_wait_seconds", "Wait for a slot")),
-      m_service_time(metrics.add_latency("boragehollow_target_service_seconds", "Grant to end of response")) {}
+      m_service_time(metrics.add_latency("boragehollow_target_service_seconds", "Grant to end of response")) {
+}
 
 void target_runner::set_target(std::optional<common::endpoint> target) {
-    m_target.store(target ? std::make_shared<const target_address>(target_address{std::move(*target)}) : nullptr);
+    m_target.store(target ? std::make_shared<const target_address>(target_address{std::move(*target)})
+                          : nullptr);
 }
 
 std::optional<call_failure> target_runner::deadline_failure(const peer::call_head& head,
@@ -105,8 +110,8 @@
     return std::nullopt;
 }
 
-void target_runner::run(const peer::call_head& head, peer::call_request_part first, const request_source& source,
-                        const reply_sink& sink) {
+void target_runner::run(const peer::call_head& head, peer::call_request_part first,
+                        const request_source& source, const reply_sink& sink) {
     const common::steady_time received = common::steady_clock::now();
     const common::steady_time deadline = received + head.remaining;
     if (auto failure = deadline_failure(head, deadline)) {
@@ -140,7 +145,8 @@
 
     admission::call_result result = admission::call_result::not_started;
     const auto give_back = [&] {
-        const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(common::steady_clock::now() - granted);
+        const auto latency =
+            std::chrono::duration_cast<std::chrono::microseconds>(common::steady_clock::now() - granted);
         m_service_time.record(latency, granted + latency);
         // A lost report would leak a slot, so this waits for room.
         m_admission.ring().push_until(work_ended{grant.id, latency, result},
@@ -160,14 +166,14 @@
     }
     const bool is_long = head.work == config::work_class::long_work;
     if (!first.end || is_long) {
-        // Tells the sender that the call was admitted: it sends the rest of the body, and for long work it stops
-        // counting the deadline.
+        // Tells the sender that the call was admitted: it sends the rest of the body, and for long work it
+        // stops counting the deadline.
         peer::call_reply_part admitted;
         admitted.load = load_of(grant.status);
         sink(admitted);
     }
-    running_work work{head, std::move(first), std::move(*connection), is_long ? granted + longest_work : deadline,
-                      false};
+    running_work work{head, std::move(first), std::move(*connection),
+                      is_long ? granted + longest_work : deadline, false};
     result = transfer(work, source, sink);
     if (result == admission::call_result::failed) {
         m_broken.add();
@@ -200,9 +206,9 @@
 
 admission::call_result target_runner::transfer(running_work& work, const request_source& source,
                                                const reply_sink& sink) {
-    const auto sent = work.connection.send_request(work.head.method, work.head.target,
-                                                   headers_for_target(work.head, until(work.deadline)),
-                                                   work.head.has_body, work.head.content_length, work.first.data);
+    const auto sent = work.connection.send_request(
+        work.head.method, work.head.target, headers_for_target(work.head, until(work.deadline)),
+        work.head.has_body, work.head.content_length, work.first.data);
     if (!sent) {
         fail(sink, unknown("send_failed", sent.error().detail));
         return admission::call_result::failed;
@@ -246,7 +252,10 @@
         }
         part = {};
     }
-    std::array<char, transfer_chunk> buffer; // NOLINT(cppcoreguidelines-pro-type-member-init)
+    // On the heap: CivetWeb's worker threads, which run local calls, have stacks of 100 KB.
+    std::vector<char> buffer(head->content_length
+                                 ? std::min<std::size_t>(*head->content_length, transfer_chunk) + 1
+                                 : transfer_chunk);
     while (true) {
         const auto count = work.connection.read(buffer, work.deadline);
         if (!count) {
--- a/packages/daemon/src/watch_duty.cpp
+++ b/packages/daemon/src/watch_duty.cpp
@@ -5,7 +5,9 @@
 watch_duty::watch_duty(std::size_t ring_size)
     : m_ring(ring_size), m_thread("watch", [this](const std::stop_token&) { run(); }) {}
 
-watch_duty::~watch_duty() { stop(); }
+watch_duty::~watch_duty() {
+    stop();
+}
 
 void watch_duty::stop() {
     m_ring.close();
--- a/packages/daemon/tests/call_path_test.cpp
+++ b/packages/daemon/tests/call_path_test.cpp
@@ -17,7 +17,9 @@
 TEST(call_path, request_and_response_pass_unchanged_over_both_hops) {
     const fake_target target([](web::server_exchange& exchange) {
         const auto body = exchange.read_all(1'000'000);
-        exchange.respond(201, {{"X-Query", std::string(exchange.query())}, {"X-Id", std::string(exchange.header_value("x-request-id").value_or(""))}},
+        exchange.respond(201,
+                         {{"X-Query", std::string(exchange.query())},
+                          {"X-Id", std::string(exchange.header_value("x-request-id").value_or(""))}},
                          *body);
     });
     target_side host("target-host", "order-desk", target.endpoint(), 4);
@@ -38,7 +40,8 @@
 TEST(call_path, target_that_dies_in_a_body_gives_a_broken_transfer) {
     for (const bool chunked : {false, true}) {
         const fake_target target([&](web::server_exchange& exchange) {
-            exchange.begin_response(200, {}, chunked ? std::nullopt : std::optional<std::uint64_t>(1'000'000));
+            exchange.begin_response(200, {},
+                                    chunked ? std::nullopt : std::optional<std::uint64_t>(1'000'000));
             exchange.write(std::string(100'000, 'x'));
             exchange.abort();
         });
@@ -176,7 +179,8 @@
     const auto dots = web::fetch(caller.endpoint(), "GET", "/a/../b", {}, "", 5s);
     ASSERT_TRUE(dots) << dots.error().detail;
     EXPECT_EQ(dots->status, 400);
-    const auto length = web::fetch(caller.endpoint(), "POST", "/", {{"Transfer-Encoding", "chunked"}}, "0\r\n\r\n", 5s);
+    const auto length =
+        web::fetch(caller.endpoint(), "POST", "/", {{"Transfer-Encoding", "chunked"}}, "0\r\n\r\n", 5s);
     ASSERT_TRUE(length) << length.error().detail;
     EXPECT_EQ(length->status, 400);
     caller.state().ready = false;
--- a/packages/daemon/tests/two_hosts.hpp
+++ b/packages/daemon/tests/two_hosts.hpp
@@ -40,11 +40,12 @@
     target_side(const std::string& host, const std::string& service, common::endpoint target, unsigned slots)
         : m_admission({}, 256), m_runner({}, m_admission, m_metrics) {
         m_runner.set_target(std::move(target));
-        m_admission.ring().try_push(local_target_changed{
-            admission::local_target{service, slots, admission::target_state::ready}});
+        m_admission.ring().try_push(
+            local_target_changed{admission::local_target{service, slots, admission::target_state::ready}});
         peer::peer_handlers handlers;
         handlers.refused = [](const std::string&, const std::string&) {};
-        handlers.call = [this](peer::call_head head, peer::call_request_part first, peer::call_stream& stream) {
+        handlers.call = [this](peer::call_head head, peer::call_request_part first,
+                               peer::call_stream& stream) {
             m_runner.run(
                 head, std::move(first), [&] { return stream.read(); },
                 [&](const peer::call_reply_part& part) { return stream.write(part); });
@@ -79,17 +80,19 @@
         }
         const auto verdict = m_config.apply({1}, change);
         EXPECT_TRUE(verdict && std::holds_alternative<config::accepted>(*verdict));
-        m_routes.store(std::make_shared<routing::route_table>(routing::route_table::build(m_config.snapshot())));
+        m_routes.store(
+            std::make_shared<routing::route_table>(routing::route_table::build(m_config.snapshot())));
         m_dispatch.ring().try_push(config_changed{m_config.snapshot()});
         m_state.ready = true;
         web::server_options options;
         options.listen = {"127.0.0.1", 0};
         options.worker_threads = 16;
-        m_server = std::move(
-            *web::http_server::start(options, [this](web::server_exchange& exchange) { m_front.serve(exchange); }));
+        m_server = std::move(*web::http_server::start(
+            options, [this](web::server_exchange& exchange) { m_front.serve(exchange); }));
     }
 
-    void set_targets(const std::string& service, const std::vector<std::pair<std::string, common::endpoint>>& hosts) {
+    void set_targets(const std::string& service,
+                     const std::vector<std::pair<std::string, common::endpoint>>& hosts) {
         membership::target_list list;
         for (const auto& [host, peer] : hosts) {
             membership::target known;
@@ -124,7 +127,8 @@
     std::unique_ptr<web::http_server> m_server;
 };
 
-inline std::vector<config::resource> order_desk(bool idempotent, config::work_class work, std::chrono::milliseconds deadline) {
+inline std::vector<config::resource> order_desk(bool idempotent, config::work_class work,
+                                                std::chrono::milliseconds deadline) {
     config::service_policy policy;
     policy.name = "order-desk";
     config::route route;
--- a/packages/peer/src/call_exchange.cpp
+++ b/packages/peer/src/call_exchange.cpp
@@ -15,8 +15,7 @@
 
 /// Tags carry the attempt and the step, so that no object has to outlive its operation for them.
 void* make_tag(attempt_index attempt, step what) {
-    return reinterpret_cast<void*>((attempt << 2U) |
-                                   static_cast<std::uintptr_t>(what));
+    return reinterpret_cast<void*>((attempt << 2U) | static_cast<std::uintptr_t>(what));
 }
 
 attempt_index attempt_of(void* tag) {
--- a/packages/web/src/http_client.cpp
+++ b/packages/web/src/http_client.cpp
@@ -4,11 +4,15 @@
 
 #include <array>
 #include <charconv>
+#include <vector>
 
 namespace boragehollow::web {
 
 namespace {
 
+/// On the heap: CivetWeb's worker threads have stacks of 100 KB.
+constexpr std::size_t body_buffer_bytes = 16'384;
+
 constexpr std::size_t max_fetched_body = 64U * 1024U * 1024U;
 
 /// CivetWeb ends a silent read after this time and reports it like the end of the connection.
@@ -175,7 +179,7 @@
 tl::expected<std::string, web_error> client_connection::read_all(std::size_t limit,
                                                                  common::steady_time deadline) {
     std::string body;
-    std::array<char, 16'384> buffer{};
+    std::vector<char> buffer(body_buffer_bytes);
     while (true) {
         const auto count = read(buffer, deadline);
         if (!count) {
--- a/packages/web/src/http_server.cpp
+++ b/packages/web/src/http_server.cpp
@@ -9,11 +9,15 @@
 #include <array>
 #include <charconv>
 #include <thread>
+#include <vector>
 
 namespace boragehollow::web {
 
 namespace {
 
+/// On the heap: CivetWeb's worker threads have stacks of 100 KB.
+constexpr std::size_t body_buffer_bytes = 16'384;
+
 /// An unread body up to this size is discarded to keep the connection; past it the connection is closed.
 constexpr std::uint64_t max_discarded_body = 65'536;
 
@@ -131,7 +135,7 @@
             web_error{web_error_kind::too_large, "body exceeds " + std::to_string(limit) + " bytes"});
     }
     std::string body;
-    std::array<char, 16'384> buffer{};
+    std::vector<char> buffer(body_buffer_bytes);
     while (true) {
         const auto count = read(buffer);
         if (!count) {
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -10,7 +10,8 @@
 //   configuration: platform log -> log_reader -> spreading -> apply -> dispatch, admission, publisher, watch
 //                  peers <-> peer_sender, peer_front <-> spreading
 //   membership:    gossip socket -> membership -> dispatch (targets), spreading (peers), mesh view
-//   calls:         caller -> caller_front -> call_runner (dispatch) -> peer or target_runner (admission) -> target
+//   calls:         caller -> caller_front -> call_runner (dispatch) -> peer or target_runner (admission) ->
+//   target
 
 namespace boragehollow::daemon {
 
@@ -26,7 +27,9 @@
 constexpr std::size_t watch_ring_size = 256;
 constexpr std::chrono::seconds pull_timeout{8};
 
-common::steady_time after(std::chrono::milliseconds wait) { return common::steady_clock::now() + wait; }
+common::steady_time after(std::chrono::milliseconds wait) {
+    return common::steady_clock::now() + wait;
+}
 
 platform::log_client make_log_client(const settings::daemon_settings& settings) {
     if (!settings.platform.log) {
@@ -100,7 +103,8 @@
     std::optional<admission::local_target> local;
     membership::target_announcement announced;
     if (target) {
-        local = admission::local_target{target->target.service, target->target.slots, admission_state(target->target.state)};
+        local = admission::local_target{target->target.service, target->target.slots,
+                                        admission_state(target->target.state)};
         announced = target->target;
         all.runner->set_target(target->address);
     } else {
@@ -134,11 +138,12 @@
 /// platform log -> log_reader -> spreading -> apply -> all that use the configuration
 void join_configuration(pipeline::parts& all) {
     const settings::daemon_settings& settings = all.settings;
-    all.publisher =
-        std::make_unique<publisher_duty>(make_log_client(settings), settings.platform,
-                                         common::random_source::from_system(), settings.rings.publisher, all.events);
+    all.publisher = std::make_unique<publisher_duty>(make_log_client(settings), settings.platform,
+                                                     common::random_source::from_system(),
+                                                     settings.rings.publisher, all.events);
     all.log_reader = std::make_unique<log_reader_duty>(
-        make_log_client(settings), settings.platform, common::random_source::from_system(), settings.rings.log_reader,
+        make_log_client(settings), settings.platform, common::random_source::from_system(),
+        settings.rings.log_reader,
         when_wired(all,
                    [&all](spreading_message message) {
                        all.spreading->ring().push_until(std::move(message), after(apply_wait));
@@ -146,9 +151,10 @@
         all.events);
 
     apply_sinks applied;
-    applied.applied = when_wired(all, [&all](const codec::snapshot_pointer& state) { distribute_state(all, state); });
-    applied.refused = when_wired(
-        all, [&all] { all.spreading->ring().push_until(handover_refused{}, after(apply_wait)); });
+    applied.applied =
+        when_wired(all, [&all](const codec::snapshot_pointer& state) { distribute_state(all, state); });
+    applied.refused =
+        when_wired(all, [&all] { all.spreading->ring().push_until(handover_refused{}, after(apply_wait)); });
     all.apply = std::make_unique<apply_duty>(settings.rings.apply, std::move(applied), all.events);
 
     spreading_sinks spread;
@@ -165,9 +171,9 @@
         all.state.ready = ready;
         all.events.emit(ready ? event_number::daemon_ready : event_number::daemon_not_ready);
     });
-    all.spreading =
-        std::make_unique<spreading_duty>(spreading_settings_of(settings), common::random_source::from_system(),
-                                         settings.rings.spreading, std::move(spread), all.events);
+    all.spreading = std::make_unique<spreading_duty>(spreading_settings_of(settings),
+                                                     common::random_source::from_system(),
+                                                     settings.rings.spreading, std::move(spread), all.events);
 }
 
 /// Control requests to other daemons, and their answers back to the duty that asked.
@@ -205,7 +211,8 @@
         all.dispatch->ring().push_until(targets_changed{std::move(directory)}, after(control_wait));
     });
     sinks.mesh = when_wired(all, [&all](std::shared_ptr<const mesh_view> mesh) {
-        all.spreading->ring().push_until(peers_for_spreading(*mesh, all.settings.baseline), after(control_wait));
+        all.spreading->ring().push_until(peers_for_spreading(*mesh, all.settings.baseline),
+                                         after(control_wait));
         all.mesh.store(std::move(mesh));
     });
     sinks.version_heard = when_wired(all, [&all](const std::string& host, common::revision version) {
@@ -213,12 +220,13 @@
     });
     membership::membership_engine engine(std::move(self), settings.gossip.seeds, engine_settings_of(settings),
                                          common::random_source::from_system(), common::steady_clock::now());
-    all.membership = std::make_unique<membership_duty>(std::move(engine), std::move(socket), settings.identity.mesh,
-                                                       all.clock, all.links, settings.rings.membership,
-                                                       std::move(sinks), all.events);
+    all.membership = std::make_unique<membership_duty>(
+        std::move(engine), std::move(socket), settings.identity.mesh, all.clock, all.links,
+        settings.rings.membership, std::move(sinks), all.events);
 }
 
-/// caller_front -> call_runner -> dispatch; peer or caller -> target_runner -> admission; target -> target_front
+/// caller_front -> call_runner -> dispatch; peer or caller -> target_runner -> admission; target ->
+/// target_front
 void join_calls(pipeline::parts& all) {
     const settings::daemon_settings& settings = all.settings;
     all.dispatch = std::make_unique<dispatch_duty>(
@@ -231,10 +239,10 @@
     runner_settings.max_idle_connections = settings.limits.target_connections;
     all.runner = std::make_unique<target_runner>(runner_settings, *all.admission, all.metrics);
     all.calls = std::make_unique<call_runner>(
-        call_runner_settings{settings.identity.host, settings.timing.connect_timeout}, *all.dispatch, *all.runner,
-        all.call_channels, all.identity, all.metrics);
-    all.callers = std::make_unique<caller_front>(caller_front_settings{settings.calls.longest_deadline}, all.state,
-                                                 all.routes, *all.calls, all.metrics);
+        call_runner_settings{settings.identity.host, settings.timing.connect_timeout}, *all.dispatch,
+        *all.runner, all.call_channels, all.identity, all.metrics);
+    all.callers = std::make_unique<caller_front>(caller_front_settings{settings.calls.longest_deadline},
+                                                 all.state, all.routes, *all.calls, all.metrics);
     all.watch = std::make_unique<watch_duty>(watch_ring_size);
 
     target_front_settings front_settings;
@@ -242,9 +250,8 @@
     front_settings.missed_heartbeats = settings.timing.missed_heartbeats;
     front_settings.ring_size = settings.rings.target_front;
     all.target = std::make_unique<target_front_duty>(
-        front_settings, when_wired(all, [&all](const std::optional<announcement>& target) {
-            announce_target(all, target);
-        }),
+        front_settings,
+        when_wired(all, [&all](const std::optional<announcement>& target) { announce_target(all, target); }),
         all.events);
     all.announcements = std::make_unique<target_front>(*all.target);
 }
@@ -252,17 +259,19 @@
 peer_front_services peer_services(pipeline::parts& all) {
     peer_front_services services;
     services.failure_domain = all.settings.identity.failure_domain;
-    services.push = when_wired(all, [&all](const std::string& from, std::vector<spreading::log_record> records) {
-        return all.spreading->ring().try_push(push_from_peer{from, std::move(records)});
-    });
+    services.push =
+        when_wired(all, [&all](const std::string& from, std::vector<spreading::log_record> records) {
+            return all.spreading->ring().try_push(push_from_peer{from, std::move(records)});
+        });
     services.pull = when_wired(all, [&all](const spreading::pull_request& request) {
         return all.spreading->answer_pull(request, after(control_wait));
     });
     services.sync = when_wired(all, [&all](const membership::sync_request& request) {
         return all.membership->answer_sync(request, after(control_wait));
     });
-    services.progress = when_wired(
-        all, [&all](common::revision version) { return all.membership->progress(version, after(control_wait)); });
+    services.progress = when_wired(all, [&all](common::revision version) {
+        return all.membership->progress(version, after(control_wait));
+    });
     services.timeline = when_wired(all, [&all](std::optional<common::hybrid_time> since, std::size_t limit) {
         return all.timeline.query(since, limit, after(control_wait));
     });
@@ -317,7 +326,9 @@
     services.metrics = [&all] { return all.metrics.render(common::steady_clock::now()); };
     services.watch = [&all](open_watch watch) { return all.watch->ring().try_push(std::move(watch)); };
     if (all.settings.testing.allow_fault_injection) {
-        services.block_links = [&all](std::set<common::endpoint> blocked) { all.links->block_only(std::move(blocked)); };
+        services.block_links = [&all](std::set<common::endpoint> blocked) {
+            all.links->block_only(std::move(blocked));
+        };
     }
     return services;
 }
@@ -409,7 +420,8 @@
 
 pipeline::~pipeline() = default;
 
-tl::expected<std::unique_ptr<pipeline>, std::string> pipeline::start(const settings::daemon_settings& settings) {
+tl::expected<std::unique_ptr<pipeline>, std::string>
+pipeline::start(const settings::daemon_settings& settings) {
     auto all = std::make_unique<parts>(settings);
     all->events.emit(event_number::daemon_starting, {{"failure_domain", settings.identity.failure_domain}});
     auto socket = transport::udp_socket::bind(settings.listeners.gossip);
@@ -420,8 +432,8 @@
     join_calls(*all);
     peer::peer_server_options peer_options;
     peer_options.listen = settings.listeners.peer;
-    auto peer_server = peer::peer_server::start(peer_options, all->identity,
-                                                make_peer_handlers(peer_services(*all), *all->runner, all->events));
+    auto peer_server = peer::peer_server::start(
+        peer_options, all->identity, make_peer_handlers(peer_services(*all), *all->runner, all->events));
     if (!peer_server) {
         return tl::unexpected("peer listener: " + peer_server.error());
     }
@@ -443,6 +455,8 @@
     return std::unique_ptr<pipeline>(new pipeline(std::move(all)));
 }
 
-void pipeline::drain() { drain_parts(*m_parts); }
+void pipeline::drain() {
+    drain_parts(*m_parts);
+}
 
 } // namespace boragehollow::daemon
--- a/programs/boragehollowd/pipeline.hpp
+++ b/programs/boragehollowd/pipeline.hpp
@@ -15,7 +15,8 @@
     struct parts;
 
     /// Opens the listeners and starts the duties. The error names the listener that could not be opened.
-    static tl::expected<std::unique_ptr<pipeline>, std::string> start(const settings::daemon_settings& settings);
+    static tl::expected<std::unique_ptr<pipeline>, std::string>
+    start(const settings::daemon_settings& settings);
 
     pipeline(const pipeline&) = delete;
     pipeline& operator=(const pipeline&) = delete;
