--- a/packages/scenario/include/boragehollow/scenario/observations.hpp
+++ b/packages/scenario/include/boragehollow/scenario/observations.hpp
@@ -33,7 +33,7 @@
     std::string reason;
     std::string target;       ///< Target that says it answered.
     std::string returned_id;  ///< Id that the target says it answered.
-    bool body_matches = true; ///< The body has the digest that the target declared.
+    bool body_matches = true; ///< Both bodies arrived as sent, by the digests that the target declared.
 };
 
 struct ledger_entry {
@@ -57,7 +57,7 @@
     common::wall_time at{};
     bool ready = false;
     std::uint64_t version = 0;
-    std::string digest;
+    std::string digest; ///< Empty when it was not read.
     std::size_t members_alive = 0;
 };
 
--- a/packages/scenario/src/checker.cpp
+++ b/packages/scenario/src/checker.cpp
@@ -121,6 +121,9 @@
                                        " after version " + std::to_string(last)});
         }
         last = std::max(last, sample.version);
+        if (sample.digest.empty()) {
+            continue;
+        }
         const auto [first, added] =
             digests.try_emplace(sample.version, std::pair{sample.digest, sample.daemon});
         if (!added && first->second.first != sample.digest) {
--- a/packages/scenario/src/cluster.cpp
+++ b/packages/scenario/src/cluster.cpp
@@ -36,6 +36,7 @@
         return failed(process.error());
     }
     m_processes.insert_or_assign(name, std::move(*process));
+    m_stopping.erase(name);
     return {};
 }
 
@@ -76,7 +77,7 @@
                                        "--service",  target.statement.service,
                                        "--slots",    std::to_string(target.statement.slots),
                                        "--announce", to_string(daemon->target),
-                                       "--label",    "name=" + target.statement.name};
+                                       "--name",     target.statement.name};
     for (const auto& [key, value] : target.statement.labels) {
         arguments.emplace_back("--label");
         arguments.push_back(key);
@@ -97,6 +98,7 @@
             depart(target);
         }
         process->second.send_signal(SIGTERM);
+        m_stopping.insert(name);
         return {};
     case signal_kind::kill:
         keep_records(name);
@@ -201,7 +203,7 @@
 }
 
 step_result cluster::set_platform_fault(const platform_statement& fault) {
-    return control_api::set_fault(m_layout->platform, fault.mode, fault.delay);
+    return control_api::set_platform_fault(m_layout->platform, fault.mode, fault.delay);
 }
 
 step_result cluster::set_target_fault(const target_fault_statement& fault) {
@@ -209,7 +211,7 @@
     if (target == m_targets.end()) {
         return failed("no target '" + fault.name + "'");
     }
-    auto switched = control_api::set_fault(target->second.address, fault.mode, fault.delay);
+    auto switched = control_api::set_target_fault(target->second.address, fault.mode, fault.delay);
     if (switched && fault.mode == "drain") {
         depart(fault.name);
     }
--- a/packages/scenario/src/cluster.hpp
+++ b/packages/scenario/src/cluster.hpp
@@ -49,6 +49,9 @@
     std::vector<const daemon_place*> active(const std::string& name);
     bool runs(const std::string& name);
 
+    /// True from SIGTERM to the end of the process.
+    bool stopping(const std::string& name) { return m_stopping.contains(name) && runs(name); }
+
     /// Reads the ledgers of the targets that run and adds those that were read before a target ended.
     std::vector<ledger> ledgers();
     const std::vector<departure>& departures() const { return m_departures; }
@@ -86,6 +89,7 @@
     std::map<std::string, target_place> m_targets;
     std::map<std::string, child_process> m_processes;
     std::set<std::string> m_paused;
+    std::set<std::string> m_stopping;
     std::vector<cut_statement> m_cuts;
     std::vector<kept_ledger> m_kept_ledgers;
     std::vector<std::vector<telemetry::timeline_event>> m_kept_timelines;
--- a/packages/scenario/src/control_api.hpp
+++ b/packages/scenario/src/control_api.hpp
@@ -20,6 +20,11 @@
 using result = tl::expected<Value, std::string>;
 
 bool healthy(const common::endpoint& operators, std::chrono::milliseconds timeout);
+
+/// Readiness and version alone; the digest stays empty. Costs the daemon nothing, unlike its status, for
+/// which it asks the other failure domains.
+result<daemon_sample> read_health(const std::string& daemon, const common::endpoint& operators,
+                                  std::chrono::milliseconds timeout);
 result<daemon_sample> read_status(const std::string& daemon, const common::endpoint& operators,
                                   std::chrono::milliseconds timeout);
 result<std::vector<telemetry::timeline_event>> read_timeline(const common::endpoint& operators);
@@ -41,17 +46,22 @@
                                 const std::string& change_id);
 result<change_answer> post_change(const common::endpoint& operators, const std::string& change);
 
-/// Switches a fault of a stand-in on, or all off with `restore`.
-result<void> set_fault(const common::endpoint& standin, const std::string& mode,
-                       std::optional<std::chrono::milliseconds> delay);
+/// Switches a fault of a stand-in on, or all off with `restore`. A slow target takes `delay` for work that
+/// usually takes it 5 ms.
+result<void> set_target_fault(const common::endpoint& target, const std::string& mode,
+                              std::optional<std::chrono::milliseconds> delay);
+result<void> set_platform_fault(const common::endpoint& platform, const std::string& mode,
+                                std::optional<std::chrono::milliseconds> delay);
 result<std::vector<ledger_entry>> read_ledger(const common::endpoint& target);
 
-/// Headers by which the runner steers and recognises the stand-in target.
-inline constexpr const char* id_header = "x-scenario-id";
-inline constexpr const char* hold_header = "x-scenario-hold-ms";
-inline constexpr const char* answer_size_header = "x-scenario-answer-size";
-inline constexpr const char* target_header = "x-scenario-target";
-inline constexpr const char* digest_header = "x-scenario-digest";
+/// Headers of the stand-in target.
+inline constexpr const char* id_header = "x-request-id";
+inline constexpr const char* hold_header = "x-work-ms";
+inline constexpr const char* target_header = "x-target";
+inline constexpr const char* body_digest_header = "x-body-digest";
+inline constexpr const char* received_digest_header = "x-received-digest";
+
+/// Headers of the daemon.
 inline constexpr const char* caller_header = "boragehollow-caller";
 inline constexpr const char* outcome_header = "boragehollow-outcome";
 
--- a/packages/scenario/src/runner.cpp
+++ b/packages/scenario/src/runner.cpp
@@ -35,6 +35,8 @@
 /// Longest wait for the answers of background work before the promises are checked.
 constexpr std::chrono::milliseconds settle_limit = 60s;
 
+constexpr std::chrono::milliseconds final_status_timeout = 10s;
+
 /// Longest pause between two faults of one `random` statement, so that they meet in different states.
 constexpr std::chrono::microseconds random_gap = 500ms;
 
@@ -75,6 +77,11 @@
         const auto names = m_cluster->expand(start.names);
         for (const std::string& name : names) {
             const bool named = std::find(start.names.begin(), start.names.end(), name) != start.names.end();
+            if (auto ended =
+                    poll(start_limit, [&] { return m_cluster->stopping(name) ? name + " stops" : ""; });
+                !ended) {
+                return ended;
+            }
             // `start all` starts those that do not run.
             if (!named && m_cluster->runs(name)) {
                 continue;
@@ -192,6 +199,13 @@
             return settled;
         }
         observations seen = m_recorder.collected();
+        // The digests, which the sampler does not read.
+        for (const daemon_place* daemon : m_cluster->active("all")) {
+            if (auto sample =
+                    control_api::read_status(daemon->name, daemon->operators, final_status_timeout)) {
+                seen.samples.push_back(std::move(*sample));
+            }
+        }
         seen.ledgers = m_cluster->ledgers();
         seen.departures = m_cluster->departures();
         seen.timeline = telemetry::merge_timelines(m_cluster->timelines());
--- a/packages/scenario/src/sampler.hpp
+++ b/packages/scenario/src/sampler.hpp
@@ -8,7 +8,7 @@
 
 namespace boragehollow::scenario {
 
-/// Duty that reads the status of every daemon again and again, so that a version that decreases for a moment
+/// Duty that reads the version of every daemon again and again, so that a version that decreases for a moment
 /// is seen.
 class sampler {
 public:
