Verify a suspicion before a member declares death on hearsay

A rumour misses a member now and then; the member held the suspicion and had missed the refutation, and an ack repeated the refutation only for 3 s. Change: a member that only heard of a suspicion pings the suspected one before it declares it dead. An ack carries the newer entry for every outdated one in the ping. Urgent entries may overdraw the token bucket. A target that restarted is one entry of the directory that tells when its previous process was lost, as the balancer expects. The directory is also published when members change.

--- a/packages/membership/include/boragehollow/membership/failure_detector.hpp
+++ b/packages/membership/include/boragehollow/membership/failure_detector.hpp
@@ -58,14 +58,15 @@
     std::vector<probe> m_open;
 };
 
-/// Suspected members and when each of them counts as dead.
+/// Suspected members, and when each of them is verified or counts as dead.
 class suspicion_timers {
 public:
     /// Does nothing when the host is already suspected.
-    void start(const std::string& host, common::steady_time dead_at);
-    /// As `start`, for the daemon whose own probe failed: it goes on pinging the host at `ping_at`.
+    void start_hearsay(const std::string& host, common::steady_time verify_at);
+    /// For a daemon that makes sure itself: it pings the host from `ping_at` on until the host is dead.
     void start_own(const std::string& host, common::steady_time dead_at, common::steady_time ping_at);
     void cancel(const std::string& host) { m_suspicions.erase(host); }
+    std::vector<std::string> take_hearsay(common::steady_time now);
     std::vector<std::string> take_dead(common::steady_time now);
     std::vector<std::string> take_pings(common::steady_time now, std::chrono::milliseconds repeat);
     common::steady_time next_due() const;
@@ -74,7 +75,8 @@
 
 private:
     struct suspicion {
-        common::steady_time dead_at{};
+        common::steady_time verify_at = common::steady_time::max();
+        common::steady_time dead_at = common::steady_time::max();
         common::steady_time ping_at = common::steady_time::max();
     };
 
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -36,7 +36,7 @@
     common::endpoint peer;
 };
 
-/// `directory(now)` would return something new.
+/// The targets or the live members changed; `directory(now)` and `members()` return something new.
 struct directory_changed {};
 
 enum class member_event_kind {
@@ -88,8 +88,8 @@
     std::chrono::milliseconds period{500};
     std::chrono::milliseconds ack_timeout{200};
     std::chrono::milliseconds suspicion{2000};
-    /// Members that only heard of a suspicion wait longer than the one whose probe failed. That one keeps
-    /// pinging the suspected member, so a refutation that gets lost on its way to the others kills no one.
+    /// A member that only heard of a suspicion waits longer than the one whose probe failed, and then makes
+    /// sure itself, so that a refutation or a death that did not reach it does no harm.
     std::chrono::milliseconds hearsay_grace{1000};
     std::size_t indirect_probes = 3;
     std::chrono::milliseconds sync_interval{10000};
--- a/packages/membership/include/boragehollow/membership/roles.hpp
+++ b/packages/membership/include/boragehollow/membership/roles.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "boragehollow/membership/member.hpp"
+
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -24,6 +26,9 @@
 /// The collector that `host` reports to; `collectors` must not be empty.
 const std::string& collector_of(std::string_view host, const std::vector<std::string>& collectors);
 
+/// The log readers of all failure domains.
+std::vector<std::string> all_log_readers(const std::vector<member_ref>& members);
+
 /// The log reader that appends snapshots for the whole mesh; empty when there is no reader.
 std::optional<std::string> compactor(const std::vector<std::string>& readers);
 
--- a/packages/membership/include/boragehollow/membership/target_directory.hpp
+++ b/packages/membership/include/boragehollow/membership/target_directory.hpp
@@ -14,8 +14,7 @@
 
 namespace boragehollow::membership {
 
-/// A target as one daemon sees it. A host that restarted within the retention appears twice: the lost
-/// instance, whose duplicate table is gone, and the new one.
+/// A target as one daemon sees it.
 struct target {
     std::string host;
     std::string failure_domain;
@@ -25,7 +24,8 @@
     target_state state = target_state::none;
     std::uint64_t incarnation = 0;
     common::steady_time first_seen{};
-    /// Since when the target takes no new work: it drains, is gone, or its host died, left or restarted.
+    /// Since when the target takes no new work: it drains, is gone, or its host died or left. A time before
+    /// `first_seen` belongs to the previous process on the host, which was lost within the retention.
     std::optional<common::steady_time> lost_since;
 
     bool operator==(const target&) const = default;
--- a/packages/membership/src/failure_detector.cpp
+++ b/packages/membership/src/failure_detector.cpp
@@ -89,13 +89,28 @@
     return due;
 }
 
-void suspicion_timers::start(const std::string& host, common::steady_time dead_at) {
-    m_suspicions.try_emplace(host, suspicion{dead_at});
+void suspicion_timers::start_hearsay(const std::string& host, common::steady_time verify_at) {
+    suspicion heard;
+    heard.verify_at = verify_at;
+    m_suspicions.try_emplace(host, heard);
 }
 
 void suspicion_timers::start_own(const std::string& host, common::steady_time dead_at,
                                  common::steady_time ping_at) {
-    m_suspicions[host] = {dead_at, ping_at};
+    m_suspicions[host] = {common::steady_time::max(), dead_at, ping_at};
+}
+
+std::vector<std::string> suspicion_timers::take_hearsay(common::steady_time now) {
+    std::vector<std::string> due;
+    for (const auto& [host, open] : m_suspicions) {
+        if (open.verify_at <= now) {
+            due.push_back(host);
+        }
+    }
+    for (const std::string& host : due) {
+        m_suspicions.erase(host);
+    }
+    return due;
 }
 
 std::vector<std::string> suspicion_timers::take_dead(common::steady_time now) {
@@ -126,7 +141,7 @@
 common::steady_time suspicion_timers::next_due() const {
     common::steady_time due = common::steady_time::max();
     for (const auto& [host, open] : m_suspicions) {
-        due = std::min({due, open.dead_at, open.ping_at});
+        due = std::min({due, open.verify_at, open.dead_at, open.ping_at});
     }
     return due;
 }
--- a/packages/membership/src/gossip_queue.cpp
+++ b/packages/membership/src/gossip_queue.cpp
@@ -30,7 +30,9 @@
     std::vector<rank> taken;
     for (const rank& position : m_order) {
         const queued& candidate = m_by_host.at(position.host);
-        if (candidate.bytes > room || static_cast<double>(candidate.bytes) > m_tokens) {
+        // Urgent entries may overdraw: a refutation that waits behind the suspicions would come too late.
+        const double available = position.relaxed ? m_tokens : m_tokens + m_burst;
+        if (candidate.bytes > room || static_cast<double>(candidate.bytes) > available) {
             break;
         }
         const auto end = members.begin() + static_cast<std::ptrdiff_t>(already);
--- a/packages/membership/src/membership_engine.cpp
+++ b/packages/membership/src/membership_engine.cpp
@@ -124,10 +124,19 @@
     if (sender && sender->state != member_state::alive) {
         mandatory.push_back(*sender);
     }
+    for (const member& entry : received.members) {
+        const member_ref known = m_table.find(entry.host);
+        const bool outdated = known && known != sender && join(*known, entry) == *known && *known != entry;
+        if (outdated) {
+            mandatory.push_back(*known);
+        }
+    }
     const bool introduced = std::any_of(received.members.begin(), received.members.end(),
                                         [&](const member& m) { return m.host == received.from_host; });
     if (introduced) {
-        mandatory.push_back(*m_self);
+        if (std::find(mandatory.begin(), mandatory.end(), *m_self) == mandatory.end()) {
+            mandatory.push_back(*m_self);
+        }
         // With some others to choose from, starting daemons do not all ask the seed for its table.
         for (const std::string& host : m_peers.pick(members_for_newcomer, received.from_host, m_random)) {
             mandatory.push_back(*m_table.find(host));
@@ -208,6 +217,7 @@
         m_next_push = std::min(m_next_push, now + push_delay);
     }
     if (const auto kind = event_of(change)) {
+        mark_directory_changed(now);
         effects.push_back(member_event{*kind, change.after});
     }
 }
@@ -235,7 +245,7 @@
         return;
     }
     if (after.state == member_state::suspect) {
-        m_suspicions.start(after.host, now + m_settings.suspicion + m_settings.hearsay_grace);
+        m_suspicions.start_hearsay(after.host, now + m_settings.suspicion + m_settings.hearsay_grace);
     }
     if (after.state == member_state::dead) {
         m_dead.push_back(after.host);
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -39,8 +39,8 @@
         notice_own_pause(now);
         send_indirect_pings(now, effects);
         suspect_failed(now, effects);
-        ping_suspected(now, effects);
         declare_dead(now, effects);
+        ping_suspected(now, effects);
         probe_next(now, effects);
         report_progress(now, effects);
         forward_collected(now, effects);
@@ -138,7 +138,7 @@
 }
 
 void membership_engine::ping_suspected(common::steady_time now, membership_effects& effects) {
-    for (const std::string& host : m_suspicions.take_pings(now, m_settings.period)) {
+    for (const std::string& host : m_suspicions.take_pings(now, m_settings.suspicion / 8)) {
         if (const member_ref suspected = m_table.find(host)) {
             send(suspected->gossip, ping{++m_last_sequence, m_applied}, {*suspected}, now, effects);
         }
@@ -146,6 +146,11 @@
 }
 
 void membership_engine::declare_dead(common::steady_time now, membership_effects& effects) {
+    for (const std::string& host : m_suspicions.take_hearsay(now)) {
+        // Rumours do not reach every member. This one may have missed the refutation or the death, and finds
+        // out.
+        m_suspicions.start_own(host, now + m_settings.suspicion, now);
+    }
     for (const std::string& host : m_suspicions.take_dead(now)) {
         const member_ref known = m_table.find(host);
         if (!known || known->state != member_state::suspect) {
--- a/packages/membership/src/roles.cpp
+++ b/packages/membership/src/roles.cpp
@@ -2,7 +2,10 @@
 
 #include "boragehollow/common/rendezvous.hpp"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <map>
 
 namespace boragehollow::membership {
 
@@ -27,6 +30,21 @@
     return collectors[common::stable_hash(host) % collectors.size()];
 }
 
+std::vector<std::string> all_log_readers(const std::vector<member_ref>& members) {
+    std::map<std::string, std::vector<std::string>> hosts_by_domain;
+    for (const member_ref& value : members) {
+        if (!is_tombstone(*value)) {
+            hosts_by_domain[value->failure_domain].push_back(value->host);
+        }
+    }
+    std::vector<std::string> readers;
+    for (const auto& [domain, hosts] : hosts_by_domain) {
+        std::vector<std::string> chosen = log_readers(domain, hosts);
+        std::move(chosen.begin(), chosen.end(), std::back_inserter(readers));
+    }
+    return readers;
+}
+
 std::optional<std::string> compactor(const std::vector<std::string>& readers) {
     std::vector<std::string> first = common::rendezvous_choices("compactor", readers, 1);
     if (first.empty()) {
--- a/packages/membership/src/target_view.cpp
+++ b/packages/membership/src/target_view.cpp
@@ -161,15 +161,30 @@
         return targets;
     }
     for (const std::string& host : hosts->second) {
+        const instance* newest = nullptr;
+        std::optional<common::steady_time> previous_lost;
         for (const instance& known : m_by_host.at(host)) {
-            const member& value = *known.value;
-            if (value.target.service != service) {
+            if (known.value->target.service != service) {
                 continue;
             }
-            targets->push_back({value.host, value.failure_domain, value.peer, value.target.labels,
-                                value.target.slots, value.target.state, value.incarnation, known.first_seen,
-                                known.lost_since});
+            if (newest != nullptr) {
+                previous_lost = newest->lost_since;
+            }
+            newest = &known;
+        }
+        if (newest == nullptr) {
+            continue;
+        }
+        const member& value = *newest->value;
+        std::optional<common::steady_time> lost_since = newest->lost_since;
+        if (!lost_since && previous_lost) {
+            // A restart can be noticed at once with the loss; it must not look like the loss of the new
+            // process.
+            lost_since = std::min(*previous_lost, newest->first_seen - std::chrono::microseconds(1));
         }
+        targets->push_back({value.host, value.failure_domain, value.peer, value.target.labels,
+                            value.target.slots, value.target.state, value.incarnation, newest->first_seen,
+                            lost_since});
     }
     return targets;
 }
