Repeat the notice of a new state that found no room

Cause: the spreading duty's ring refuses messages when it is full. A refused notice of the applied state left the engine behind until the next change, and a starting daemon not ready. Change: the sink 'applied' returns whether the notice was taken, and the apply duty repeats it every 100 ms until then. The test refuses the first notice. Added a test of the reader across an outage of the platform.

--- a/packages/daemon/include/boragehollow/daemon/apply_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/apply_duty.hpp
@@ -13,8 +13,10 @@
 namespace boragehollow::daemon {
 
 struct apply_sinks {
-    /// A newer state is in force; called once for several records that came together.
-    std::function<void(codec::snapshot_pointer)> applied;
+    /// A newer state is in force; called once for several records that came together. Returns false when a
+    /// receiver had no room: it is called again shortly, since a lost notice would leave the daemon not
+    /// ready.
+    std::function<bool(codec::snapshot_pointer)> applied;
     /// What came does not follow on the state, or could not be read.
     std::function<void()> refused;
 };
@@ -32,6 +34,7 @@
 
 private:
     void run();
+    void announce();
     void handle(const spreading::apply_records& message);
     void handle(const spreading::apply_snapshot& message);
     bool apply(const spreading::log_record& record);
@@ -40,6 +43,7 @@
     void report(const config::not_applied& reason);
 
     config::config_state m_state;
+    common::revision m_announced; ///< Version that `applied` has passed on.
     bool m_schema_reported = false;
     apply_sinks m_sinks;
     const telemetry::event_log& m_events;
--- a/packages/daemon/src/apply_duty.cpp
+++ b/packages/daemon/src/apply_duty.cpp
@@ -9,6 +9,12 @@
 
 using telemetry::event_number;
 
+namespace {
+
+constexpr std::chrono::milliseconds announce_retry{100};
+
+} // namespace
+
 apply_duty::apply_duty(std::size_t ring_size, apply_sinks sinks, const telemetry::event_log& events)
     : m_sinks(std::move(sinks)), m_events(events), m_ring(ring_size),
       m_thread("apply", [this](const std::stop_token&) { run(); }) {}
@@ -23,12 +29,23 @@
 }
 
 void apply_duty::run() {
-    while (const auto message = m_ring.pop()) {
-        const common::revision before = m_state.snapshot()->version;
-        std::visit([&](const auto& concrete) { handle(concrete); }, *message);
-        if (m_state.snapshot()->version > before) {
-            m_sinks.applied(m_state.snapshot());
+    while (true) {
+        const bool announced = m_state.snapshot()->version == m_announced;
+        const auto message =
+            announced ? m_ring.pop() : m_ring.pop_until(common::steady_clock::now() + announce_retry);
+        if (message) {
+            std::visit([&](const auto& concrete) { handle(concrete); }, *message);
+        } else if (m_ring.closed()) {
+            return;
         }
+        announce();
+    }
+}
+
+void apply_duty::announce() {
+    const codec::snapshot_pointer state = m_state.snapshot();
+    if (state->version > m_announced && m_sinks.applied(state)) {
+        m_announced = state->version;
     }
 }
 
--- a/packages/daemon/tests/log_path_test.cpp
+++ b/packages/daemon/tests/log_path_test.cpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <thread>
+#include <utility>
 
 namespace boragehollow::daemon {
 namespace {
@@ -44,7 +45,7 @@
           m_publisher(platform::memory_log_client{log, host}, fast_platform(), common::random_source(1), 16,
                       m_events),
           m_apply(64,
-                  {[this](const codec::snapshot_pointer& state) { applied(state); },
+                  {[this](const codec::snapshot_pointer& state) { return applied(state); },
                    [this] { m_spreading.ring().try_push(handover_refused{}); }},
                   m_events),
           m_reader(
@@ -85,10 +86,11 @@
     bool ready() const { return m_ready; }
 
 private:
-    void applied(const codec::snapshot_pointer& state) {
+    bool applied(const codec::snapshot_pointer& state) {
         m_newest.store(state);
-        m_spreading.ring().try_push(state_applied{state});
-        m_publisher.ring().try_push(config_changed{state});
+        // The first notice is refused, as by a full ring.
+        return !std::exchange(m_refuse_notice, false) && m_spreading.ring().try_push(state_applied{state}) &&
+               m_publisher.ring().try_push(config_changed{state});
     }
 
     spreading_sinks sinks() {
@@ -114,6 +116,7 @@
     telemetry::event_log m_events;
     common::published<config::config_snapshot> m_newest;
     std::atomic<bool> m_ready = false;
+    bool m_refuse_notice = true;
     publisher_duty m_publisher;
     apply_duty m_apply;
     log_reader_duty m_reader;
@@ -168,6 +171,22 @@
     ASSERT_TRUE(std::holds_alternative<change_judged>(again)) << "the same id can be sent again";
 }
 
+// A reader has to go on from its position when the platform returns, without an operator's help.
+TEST_F(log_path_test, reader_follows_the_log_again_after_an_outage) {
+    log_path daemon("a", log);
+    log_path other("b", log);
+    daemon.join(lone_reader);
+    other.join(lone_reader);
+    ASSERT_TRUE(std::holds_alternative<change_judged>(other.publish("c1")));
+    ASSERT_TRUE(daemon.reaches(common::revision{1}));
+    log->set_switches({.outage = true});
+    std::this_thread::sleep_for(300ms);
+    EXPECT_TRUE(daemon.ready()) << "an outage of the platform does not stop a daemon that was ready";
+    log->set_switches({});
+    ASSERT_TRUE(std::holds_alternative<change_judged>(other.publish("c2")));
+    EXPECT_TRUE(daemon.reaches(common::revision{2}));
+}
+
 // G1: a daemon that starts without state, when the first records have expired, gets the snapshot and the
 // rest.
 TEST_F(log_path_test, restart_after_expiry_uses_the_snapshot_stream) {
