--- a/packages/common/include/boragehollow/common/published.hpp
+++ b/packages/common/include/boragehollow/common/published.hpp
@@ -1,24 +1,33 @@
 #pragma once
 
-#include <atomic>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace boragehollow::common {
 
 /// Newest immutable snapshot of one duty's state, for readers on other threads.
+///
+/// A mutex guards only the copy of the pointer. `std::atomic<std::shared_ptr>` of libstdc++ 12 spins on an
+/// internal lock, and the thread sanitizer reports a race in it.
 template <class Value>
 class published {
 public:
     /// Null until the first `store`.
-    std::shared_ptr<const Value> load() const { return m_value.load(std::memory_order_acquire); }
+    std::shared_ptr<const Value> load() const {
+        const std::lock_guard lock(m_mutex);
+        return m_value;
+    }
 
     void store(std::shared_ptr<const Value> value) {
-        m_value.store(std::move(value), std::memory_order_release);
+        const std::lock_guard lock(m_mutex);
+        // The previous snapshot is released by the argument, after the lock.
+        m_value.swap(value);
     }
 
 private:
-    std::atomic<std::shared_ptr<const Value>> m_value;
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const Value> m_value;
 };
 
 } // namespace boragehollow::common
--- a/packages/peer/include/boragehollow/peer/link_filter.hpp
+++ b/packages/peer/include/boragehollow/peer/link_filter.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/published.hpp"
 
-#include <atomic>
-#include <memory>
 #include <set>
 
 namespace boragehollow::peer {
@@ -20,7 +19,7 @@
 private:
     using endpoint_set = std::set<common::endpoint>;
 
-    std::atomic<std::shared_ptr<const endpoint_set>> m_blocked;
+    common::published<endpoint_set> m_blocked;
 };
 
 } // namespace boragehollow::peer
