Let the route table build with sanitizers

Cause: GCC 12 with -fsanitize=address,undefined reports a false "may be used uninitialized" for the temporary error in route_table::match, and warnings are errors. Change: one function makes the error; the check of the leading '/' moves into path_tree::find. The behaviour is the same.

--- a/packages/routing/src/route_table.cpp
+++ b/packages/routing/src/route_table.cpp
@@ -64,6 +64,9 @@
     /// added to `allowed`, unless it is null.
     const config::route* find(std::string_view path, std::string_view method,
                               std::set<std::string>* allowed) const {
+        if (!path.starts_with('/')) {
+            return nullptr;
+        }
         const config::route* best = nullptr;
         const node* current = m_nodes.data();
         std::string_view rest = path.substr(1);
@@ -120,6 +123,13 @@
     return lower;
 }
 
+match_error error_for(const std::set<std::string>& allowed) {
+    if (allowed.empty()) {
+        return no_route{};
+    }
+    return method_not_allowed{{allowed.begin(), allowed.end()}};
+}
+
 } // namespace
 
 struct route_table::tables {
@@ -175,9 +185,6 @@
 tl::expected<matched_route, match_error> route_table::match(std::string_view host, std::string_view path,
                                                             std::string_view method) const {
     path = path.substr(0, path.find_first_of("?#"));
-    if (!path.starts_with('/')) {
-        return tl::unexpected(no_route{});
-    }
     const auto own = m_tables->hosts.find(normalized_host(host));
     const auto search = [&](std::set<std::string>* allowed) {
         const config::route* found =
@@ -189,10 +196,7 @@
     }
     std::set<std::string> allowed;
     search(&allowed);
-    if (allowed.empty()) {
-        return tl::unexpected(no_route{});
-    }
-    return tl::unexpected(method_not_allowed{{allowed.begin(), allowed.end()}});
+    return tl::unexpected(error_for(allowed));
 }
 
 std::shared_ptr<const service_entry> route_table::find_service(std::string_view name) const {
