--- a/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
+++ b/packages/daemon/include/boragehollow/daemon/peer_sender.hpp
@@ -31,7 +31,8 @@
     std::function<void(std::uint64_t id, const std::string& peer,
                        tl::expected<spreading::pull_answer, std::string> answer)>
         pulled;
-    std::function<void(const send_sync& request, tl::expected<membership::sync_reply, std::string> reply)> synced;
+    std::function<void(const send_sync& request, tl::expected<membership::sync_reply, std::string> reply)>
+        synced;
 };
 
 struct peer_sender_settings {
@@ -48,6 +49,9 @@
                      const common::published<mesh_view>& mesh, peer_sender_sinks sinks);
     ~peer_sender_duty();
 
+    /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
+    void stop();
+
     common::bounded_ring<peer_sender_message>& ring() { return m_ring; }
 
 private:
