Check daemon settings offline and share the duration text

Cause: `boragehollow check` saw only TOML syntax in settings files; settings and codec each had the same duration parser; the default address was not that of the operator listener. Change: check calls settings::parse_settings and prints file, line and key of every fault. duration_text moves to packages/common with its test, and the copies in settings and codec go. No rule of the parser and no error text of the settings changes. Conclusion: one place reads and writes durations, and check covers both kinds of files.

--- a/packages/cli/include/boragehollow/cli/arguments.hpp
+++ b/packages/cli/include/boragehollow/cli/arguments.hpp
@@ -19,7 +19,7 @@
 
 /// Options of every command that talks to a daemon.
 struct connection_options {
-    common::endpoint daemon{"127.0.0.1", 7480};
+    common::endpoint daemon{"127.0.0.1", 7081};
     std::chrono::milliseconds timeout{30'000}; ///< For the whole command with its retries, but for `watch`.
 };
 
--- a/packages/cli/include/boragehollow/cli/change_file.hpp
+++ b/packages/cli/include/boragehollow/cli/change_file.hpp
@@ -4,17 +4,19 @@
 
 #include <tl/expected.hpp>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace boragehollow::cli {
 
-/// A fault of a file, with the place that is known: a key path, or a line within the detail.
+/// A fault of a file, with the place that is known: the path of a key, or a line.
 struct file_fault {
     std::string file;
     std::string key;
     std::string detail;
+    std::size_t line = 0; ///< 0 when only the key is known.
 
     bool operator==(const file_fault&) const = default;
 };
--- a/packages/cli/src/arguments.cpp
+++ b/packages/cli/src/arguments.cpp
@@ -1,6 +1,6 @@
 #include "boragehollow/cli/arguments.hpp"
 
-#include "boragehollow/codec/duration_text.hpp"
+#include "boragehollow/common/duration_text.hpp"
 #include "boragehollow/common/overloaded.hpp"
 #include "boragehollow/config/names.hpp"
 
@@ -257,7 +257,7 @@
     if (!daemon) {
         return fault("--address: " + daemon.error());
     }
-    const auto timeout = codec::parse_duration(values["timeout"].as<std::string>());
+    const auto timeout = common::parse_duration(values["timeout"].as<std::string>());
     if (!timeout || *timeout == timeout->zero()) {
         return fault("--timeout must be a duration such as 500ms, 30s or 2m");
     }
--- a/packages/cli/src/change_file.cpp
+++ b/packages/cli/src/change_file.cpp
@@ -87,7 +87,8 @@
 } // namespace
 
 std::string to_string(const file_fault& fault) {
-    return fault.file + ": " + (fault.key.empty() ? "" : fault.key + ": ") + fault.detail;
+    const std::string place = fault.line == 0 ? fault.file : fault.file + ":" + std::to_string(fault.line);
+    return place + ": " + (fault.key.empty() ? "" : fault.key + ": ") + fault.detail;
 }
 
 tl::expected<std::vector<config::operation>, std::vector<file_fault>>
--- a/packages/cli/src/file_check.cpp
+++ b/packages/cli/src/file_check.cpp
@@ -1,6 +1,6 @@
 #include "boragehollow/cli/file_check.hpp"
 
-#include <toml++/toml.h>
+#include "boragehollow/settings/load.hpp"
 
 #include <cerrno>
 #include <fstream>
@@ -14,13 +14,15 @@
 namespace {
 
 std::vector<file_fault> check_settings(const std::string& file, const std::string& text) {
-    try {
-        (void)toml::parse(text, file);
-        return {};
-    } catch (const toml::parse_error& error) {
-        const std::string line = "line " + std::to_string(error.source().begin.line);
-        return {{file, line, std::string(error.description())}};
+    const auto read = settings::parse_settings(text);
+    std::vector<file_fault> faults;
+    if (read) {
+        return faults;
+    }
+    for (const settings::settings_fault& fault : read.error()) {
+        faults.push_back({file, fault.key, fault.message, fault.line});
     }
+    return faults;
 }
 
 std::vector<file_fault> check_file(const std::string& file) {
--- a/packages/cli/src/run.cpp
+++ b/packages/cli/src/run.cpp
@@ -104,7 +104,8 @@
         }
         json list = json::array();
         for (const file_fault& fault : faults) {
-            list.push_back({{"file", fault.file}, {"key", fault.key}, {"detail", fault.detail}});
+            list.push_back(
+                {{"file", fault.file}, {"line", fault.line}, {"key", fault.key}, {"detail", fault.detail}});
         }
         m_out << codec::dump_json({{"faults", list}}, 2) << '\n';
         return faults.empty() ? exit_code::done : exit_code::failed;
--- a/packages/cli/tests/run_test.cpp
+++ b/packages/cli/tests/run_test.cpp
@@ -177,5 +177,14 @@
     EXPECT_EQ(run_with({"check", path}, 0), exit_code::failed);
 }
 
+TEST_F(run_test, check_reports_the_faults_of_settings_with_their_lines) {
+    const std::string path = testing::TempDir() + "boragehollow_faulty.toml";
+    const common::scope_guard remover([&path] { std::remove(path.c_str()); });
+    std::ofstream(path) << "[listeners]\noperators = 7\nno_such = 1\n";
+    EXPECT_EQ(run_with({"check", path}, 0), exit_code::failed);
+    EXPECT_NE(m_out.str().find(path + ":2: listeners.operators: "), std::string::npos) << m_out.str();
+    EXPECT_NE(m_out.str().find(path + ":3: listeners.no_such: "), std::string::npos) << m_out.str();
+}
+
 } // namespace
 } // namespace boragehollow::cli
--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -1,6 +1,6 @@
 #include "boragehollow/codec/json_reader.hpp"
 
-#include "boragehollow/codec/duration_text.hpp"
+#include "boragehollow/common/duration_text.hpp"
 #include "boragehollow/config/validation.hpp"
 
 #include <cmath>
@@ -145,10 +145,9 @@
         add(faults, json_fault_kind::wrong_type, path, "must be a string such as \"250ms\" or \"10s\"");
         return;
     }
-    const auto parsed = parse_duration(value.get_ref<const std::string&>());
+    const auto parsed = common::parse_duration(value.get_ref<const std::string&>());
     if (!parsed) {
-        add(faults, json_fault_kind::bad_value, path,
-            "must be a whole number with one of the units ms, s, m, h");
+        add(faults, json_fault_kind::bad_value, path, parsed.error());
         return;
     }
     target = *parsed;
--- a/packages/codec/src/resource_json.cpp
+++ b/packages/codec/src/resource_json.cpp
@@ -1,6 +1,6 @@
 #include "boragehollow/codec/resource_json.hpp"
 
-#include "boragehollow/codec/duration_text.hpp"
+#include "boragehollow/common/duration_text.hpp"
 #include "boragehollow/common/overloaded.hpp"
 #include "boragehollow/config/names.hpp"
 
@@ -10,6 +10,7 @@
 
 namespace {
 
+using common::format_duration;
 using config::to_string;
 
 json balancing_to_json(const config::balancing_policy& value) {
--- a/packages/codec/tests/resource_json_test.cpp
+++ b/packages/codec/tests/resource_json_test.cpp
@@ -1,5 +1,4 @@
 #include "boragehollow/codec/change_json.hpp"
-#include "boragehollow/codec/duration_text.hpp"
 
 #include <gtest/gtest.h>
 
@@ -98,17 +97,5 @@
     EXPECT_NE(dump_json(to_json(value)).find("\xef\xbf\xbd"), std::string::npos);
 }
 
-TEST(duration_text, reads_and_writes_units) {
-    EXPECT_EQ(parse_duration("250ms"), milliseconds{250});
-    EXPECT_EQ(parse_duration("10s"), milliseconds{10'000});
-    EXPECT_EQ(parse_duration("2h"), milliseconds{7'200'000});
-    for (const char* text : {"", "10", "ms", "-1s", "1.5s", " 1s", "1s ", "9223372036854775807s", "1d"}) {
-        EXPECT_EQ(parse_duration(text), std::nullopt) << text;
-    }
-    EXPECT_EQ(format_duration(milliseconds{90'000}), "90s");
-    EXPECT_EQ(format_duration(milliseconds{1'500}), "1500ms");
-    EXPECT_EQ(format_duration(milliseconds{0}), "0ms");
-}
-
 } // namespace
 } // namespace boragehollow::codec
--- a/packages/settings/include/boragehollow/settings/duration_text.hpp
+++ b/packages/common/include/boragehollow/common/duration_text.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace boragehollow::settings {
+namespace boragehollow::common {
 
 /// Reads a whole number with a unit: `250ms`, `2s`, `10m`, `24h`. The error says what is expected.
 tl::expected<std::chrono::milliseconds, std::string> parse_duration(std::string_view text);
@@ -14,4 +14,4 @@
 /// Writes a duration with the largest unit that divides it.
 std::string format_duration(std::chrono::milliseconds value);
 
-} // namespace boragehollow::settings
+} // namespace boragehollow::common
--- a/packages/settings/src/duration_text.cpp
+++ b/packages/common/src/duration_text.cpp
@@ -1,11 +1,11 @@
-#include "boragehollow/settings/duration_text.hpp"
+#include "boragehollow/common/duration_text.hpp"
 
 #include <array>
 #include <charconv>
 #include <cstdint>
 #include <limits>
 
-namespace boragehollow::settings {
+namespace boragehollow::common {
 
 namespace {
 
@@ -56,4 +56,4 @@
     return std::to_string(value.count()) + "ms";
 }
 
-} // namespace boragehollow::settings
+} // namespace boragehollow::common
--- a/packages/scenario/src/word_cursor.cpp
+++ b/packages/scenario/src/word_cursor.cpp
@@ -1,6 +1,6 @@
 #include "word_cursor.hpp"
 
-#include "boragehollow/settings/duration_text.hpp"
+#include "boragehollow/common/duration_text.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -119,7 +119,7 @@
 
 std::chrono::milliseconds word_cursor::duration(std::string_view meaning) {
     const std::string text = word(meaning);
-    const auto value = settings::parse_duration(text);
+    const auto value = common::parse_duration(text);
     if (!m_fault && !value) {
         fail(std::string(meaning) + " " + value.error() + ", not " + quoted(text));
     }
--- a/packages/settings/src/contradictions.cpp
+++ b/packages/settings/src/contradictions.cpp
@@ -1,6 +1,6 @@
 #include "contradictions.hpp"
 
-#include "boragehollow/settings/duration_text.hpp"
+#include "boragehollow/common/duration_text.hpp"
 
 #include <array>
 #include <string_view>
@@ -75,13 +75,14 @@
 void check_timing(const daemon_settings& settings, std::vector<contradiction>& found) {
     const timing_settings& timing = settings.timing;
     if (timing.swim_ack_timeout >= timing.swim_period) {
-        found.push_back(
-            {{"timing.swim_ack_timeout", "timing.swim_period"},
-             "must be shorter than timing.swim_period (" + format_duration(timing.swim_period) + ")"});
+        found.push_back({{"timing.swim_ack_timeout", "timing.swim_period"},
+                         "must be shorter than timing.swim_period (" +
+                             common::format_duration(timing.swim_period) + ")"});
     }
     if (timing.suspicion < timing.swim_period) {
         found.push_back({{"timing.suspicion", "timing.swim_period"},
-                         "must be at least timing.swim_period (" + format_duration(timing.swim_period) +
+                         "must be at least timing.swim_period (" +
+                             common::format_duration(timing.swim_period) +
                              "), or no suspected member can refute in time"});
     }
     if (timing.heartbeat * timing.missed_heartbeats >= silence_limit) {
@@ -92,7 +93,7 @@
     if (settings.platform.min_backoff > settings.platform.max_backoff) {
         found.push_back({{"platform.min_backoff", "platform.max_backoff"},
                          "must not exceed platform.max_backoff (" +
-                             format_duration(settings.platform.max_backoff) + ")"});
+                             common::format_duration(settings.platform.max_backoff) + ")"});
     }
 }
 
--- a/packages/settings/src/load.cpp
+++ b/packages/settings/src/load.cpp
@@ -1,7 +1,7 @@
 #include "boragehollow/settings/load.hpp"
 
+#include "boragehollow/common/duration_text.hpp"
 #include "boragehollow/common/overloaded.hpp"
-#include "boragehollow/settings/duration_text.hpp"
 #include "contradictions.hpp"
 #include "entries.hpp"
 
@@ -68,12 +68,12 @@
     if (read_text(node, text)) {
         return "must be a string with a unit (ms, s, m or h), such as \"250ms\"";
     }
-    const auto parsed = parse_duration(text);
+    const auto parsed = common::parse_duration(text);
     if (!parsed) {
         return parsed.error();
     }
     if (*parsed < least || *parsed > most) {
-        return "must lie between " + format_duration(least) + " and " + format_duration(most);
+        return "must lie between " + common::format_duration(least) + " and " + common::format_duration(most);
     }
     target = *parsed;
     return std::nullopt;
--- a/packages/settings/src/reference.cpp
+++ b/packages/settings/src/reference.cpp
@@ -1,5 +1,5 @@
+#include "boragehollow/common/duration_text.hpp"
 #include "boragehollow/common/overloaded.hpp"
-#include "boragehollow/settings/duration_text.hpp"
 #include "boragehollow/settings/load.hpp"
 #include "entries.hpp"
 
@@ -46,12 +46,14 @@
                               code(std::to_string(each.fallback))};
         },
         [](const duration_entry& each) {
-            return entry_text{"duration, " + range(format_duration(each.least), format_duration(each.most)),
-                              code("\"" + format_duration(each.fallback) + "\"")};
+            return entry_text{
+                "duration, " + range(common::format_duration(each.least), common::format_duration(each.most)),
+                code("\"" + common::format_duration(each.fallback) + "\"")};
         },
         [](const optional_duration_entry& each) {
-            return entry_text{"duration, " + range(format_duration(each.least), format_duration(each.most)),
-                              "none"};
+            return entry_text{
+                "duration, " + range(common::format_duration(each.least), common::format_duration(each.most)),
+                "none"};
         },
         [](const flag_entry& each) {
             return entry_text{"`true` or `false`", each.fallback ? "`true`" : "`false`"};
