Report a process that ends by itself, and stop all processes side by side

Cause: a daemon that crashed showed only as a broken call, and six daemons drained one after the other at the end. Change: the runner names the process and its signal after each statement; the end of a run signals all processes first. Conclusion: faults of the daemon show at the statement where they happen.

--- a/packages/scenario/include/boragehollow/scenario/child_process.hpp
+++ b/packages/scenario/include/boragehollow/scenario/child_process.hpp
@@ -20,7 +20,7 @@
 
 std::string to_string(const exit_state& state);
 
-/// One program that was started. Its end of life ends the program: SIGTERM, and SIGKILL after two seconds.
+/// One program that was started. Its end of life ends the program: SIGTERM, and SIGKILL after five seconds.
 class child_process {
 public:
     /// Starts `program` in a process group of its own, so that Ctrl-C reaches only the runner. Output and
--- a/packages/scenario/src/cluster.cpp
+++ b/packages/scenario/src/cluster.cpp
@@ -26,6 +26,23 @@
     : m_programs(std::move(programs)), m_directory(std::move(directory)), m_settings(std::move(settings)),
       m_layout(std::make_shared<const mesh_layout>(make_layout(mesh, [this] { return m_ports.next(); }))) {}
 
+cluster::~cluster() {
+    for (const auto& [name, process] : m_processes) {
+        process.send_signal(SIGTERM);
+        process.send_signal(SIGCONT);
+    }
+}
+
+std::string cluster::unexpected_end() {
+    for (auto& [name, process] : m_processes) {
+        const auto ended = process.wait_exit(0ms);
+        if (ended && !m_stopping.contains(name)) {
+            return name + " ended by itself: " + to_string(*ended);
+        }
+    }
+    return "";
+}
+
 step_result cluster::spawn(const std::string& name, const std::filesystem::path& program,
                            const std::vector<std::string>& arguments) {
     if (runs(name)) {
@@ -103,6 +120,7 @@
     case signal_kind::kill:
         keep_records(name);
         process->second.send_signal(SIGKILL);
+        m_stopping.insert(name);
         m_paused.erase(name);
         return process->second.wait_exit(5s) ? step_result{} : failed(name + " does not end after SIGKILL");
     case signal_kind::pause:
--- a/packages/scenario/src/cluster.hpp
+++ b/packages/scenario/src/cluster.hpp
@@ -32,6 +32,12 @@
     cluster(program_paths programs, std::filesystem::path directory, const mesh_statement& mesh,
             std::map<std::string, std::string> settings);
 
+    /// Asks all processes to end at once, so that they drain side by side.
+    ~cluster();
+
+    cluster(const cluster&) = delete;
+    cluster& operator=(const cluster&) = delete;
+
     std::shared_ptr<const mesh_layout> layout() const { return m_layout; }
 
     step_result start(const std::string& name);
@@ -49,6 +55,9 @@
     std::vector<const daemon_place*> active(const std::string& name);
     bool runs(const std::string& name);
 
+    /// Says which process ended although nothing told it to, and how; empty when none did.
+    std::string unexpected_end();
+
     /// True from SIGTERM to the end of the process.
     bool stopping(const std::string& name) { return m_stopping.contains(name) && runs(name); }
 
@@ -89,7 +98,7 @@
     std::map<std::string, target_place> m_targets;
     std::map<std::string, child_process> m_processes;
     std::set<std::string> m_paused;
-    std::set<std::string> m_stopping;
+    std::set<std::string> m_stopping; ///< Processes that were told to end, until they are started again.
     std::vector<cut_statement> m_cuts;
     std::vector<kept_ledger> m_kept_ledgers;
     std::vector<std::vector<telemetry::timeline_event>> m_kept_timelines;
--- a/packages/scenario/src/runner.cpp
+++ b/packages/scenario/src/runner.cpp
@@ -54,7 +54,16 @@
             return failed("interrupted");
         }
         m_output << "line " << each.line << ": " << each.text << std::endl;
-        return std::visit(*this, each.body);
+        step_result done = std::visit(*this, each.body);
+        if (!done) {
+            // A process that has just crashed takes a moment to end.
+            wait_for(m_stop, poll_interval * 10);
+        }
+        const std::string ended = m_cluster ? m_cluster->unexpected_end() : std::string();
+        if (ended.empty()) {
+            return done;
+        }
+        return failed(done ? ended : ended + "; " + done.error());
     }
 
     std::string timeline() {
