Follow the status and timeline fields of the operator listener

Cause: the operator listener has settled on members_alive, wall_us and a /healthz without a version.

--- a/packages/scenario/src/control_api.cpp
+++ b/packages/scenario/src/control_api.cpp
@@ -151,23 +151,6 @@
 
 } // namespace
 
-result<daemon_sample> read_health(const std::string& daemon, const common::endpoint& operators,
-                                  std::chrono::milliseconds timeout) {
-    const auto response = request(operators, "GET", "/healthz", {}, timeout);
-    if (!response) {
-        return tl::unexpected(response.error());
-    }
-    return guarded("health", [&] {
-        const json document = json::parse(response->body);
-        daemon_sample sample;
-        sample.daemon = daemon;
-        sample.at = common::wall_now();
-        sample.ready = document.at("ready").get<bool>();
-        sample.version = document.at("version").get<std::uint64_t>();
-        return sample;
-    });
-}
-
 bool healthy(const common::endpoint& operators, std::chrono::milliseconds timeout) {
     const auto response = request(operators, "GET", "/healthz", {}, timeout);
     return response && response->status == 200;
@@ -187,7 +170,7 @@
         sample.ready = document.at("ready").get<bool>();
         sample.version = document.at("version").get<std::uint64_t>();
         sample.digest = plain_text(document.at("digest"));
-        sample.members_alive = document.at("hosts").at("alive").get<std::size_t>();
+        sample.members_alive = document.at("members_alive").get<std::size_t>();
         return sample;
     });
 }
@@ -202,7 +185,7 @@
         std::vector<telemetry::timeline_event> events;
         for (const json& item : document.at("events")) {
             telemetry::timeline_event event;
-            event.at = {wall_time_of(item.at("time_us")), item.at("counter").get<std::uint32_t>()};
+            event.at = {wall_time_of(item.at("wall_us")), item.at("counter").get<std::uint32_t>()};
             event.host = item.at("host").get<std::string>();
             event.number = event_number_of(item.at("event").get<std::string>());
             event.level = item.value("level", "");
--- a/packages/scenario/src/control_api.hpp
+++ b/packages/scenario/src/control_api.hpp
@@ -20,11 +20,6 @@
 using result = tl::expected<Value, std::string>;
 
 bool healthy(const common::endpoint& operators, std::chrono::milliseconds timeout);
-
-/// Readiness and version alone; the digest stays empty. Costs the daemon nothing, unlike its status, for
-/// which it asks the other failure domains.
-result<daemon_sample> read_health(const std::string& daemon, const common::endpoint& operators,
-                                  std::chrono::milliseconds timeout);
 result<daemon_sample> read_status(const std::string& daemon, const common::endpoint& operators,
                                   std::chrono::milliseconds timeout);
 result<std::vector<telemetry::timeline_event>> read_timeline(const common::endpoint& operators);
--- a/packages/scenario/src/sampler.cpp
+++ b/packages/scenario/src/sampler.cpp
@@ -13,8 +13,9 @@
 
 constexpr std::chrono::milliseconds interval = 200ms;
 
-/// Short, since a paused daemon accepts connections and does not answer.
-constexpr std::chrono::milliseconds read_timeout = 300ms;
+/// A daemon asks the other failure domains for its status; a paused one accepts connections and does not
+/// answer.
+constexpr std::chrono::milliseconds read_timeout = 1s;
 
 } // namespace
 
@@ -28,7 +29,7 @@
             if (stop.stop_requested()) {
                 return;
             }
-            if (auto sample = control_api::read_health(daemon.name, daemon.operators, read_timeout)) {
+            if (auto sample = control_api::read_status(daemon.name, daemon.operators, read_timeout)) {
                 m_samples.add_sample(std::move(*sample));
             }
         }
--- a/packages/scenario/tests/control_api_test.cpp
+++ b/packages/scenario/tests/control_api_test.cpp
@@ -48,8 +48,8 @@
 // Guards against a crash on the fields of an event, which were once read from a value that no longer existed.
 TEST_F(control_api_test, reads_events_with_and_without_fields) {
     const auto daemon = serve(200, R"({"dropped": 0, "events": [
-        {"time_us": 5, "counter": 2, "host": "a", "event": "BH1301", "fields": {"version": 7, "by": "x"}},
-        {"time_us": 6, "counter": 0, "host": "a", "event": "BH1007"}]})");
+        {"wall_us": 5, "counter": 2, "host": "a", "event": "BH1301", "fields": {"version": 7, "by": "x"}},
+        {"wall_us": 6, "counter": 0, "host": "a", "event": "BH1007"}]})");
     const auto events = control_api::read_timeline(daemon);
     ASSERT_TRUE(events) << events.error();
     ASSERT_EQ(events->size(), 2U);
