Repeat the notice of a new state that found no room

Cause: the apply duty now asks whether every receiver took the state. Change: the pipeline reports a receiver without room.

--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -123,16 +123,17 @@
     };
 }
 
-/// A new state is in force: everything that serves calls or answers operators gets it.
-void distribute_state(pipeline::parts& all, const codec::snapshot_pointer& state) {
+/// A new state is in force: everything that serves calls or answers operators gets it. False when one of them
+/// had no room; the apply duty then repeats the notice.
+bool distribute_state(pipeline::parts& all, const codec::snapshot_pointer& state) {
     all.snapshot.store(state);
     all.routes.store(std::make_shared<routing::route_table>(routing::route_table::build(state)));
-    all.dispatch->ring().push_until(config_changed{state}, after(apply_wait));
-    all.admission->ring().push_until(config_changed{state}, after(apply_wait));
-    all.publisher->ring().push_until(config_changed{state}, after(apply_wait));
     all.watch->ring().push_newest(config_changed{state});
-    all.spreading->ring().push_until(state_applied{state}, after(apply_wait));
-    all.membership->ring().push_until(local_version_changed{state->version}, after(control_wait));
+    return all.dispatch->ring().push_until(config_changed{state}, after(apply_wait)) &&
+           all.admission->ring().push_until(config_changed{state}, after(apply_wait)) &&
+           all.publisher->ring().push_until(config_changed{state}, after(apply_wait)) &&
+           all.spreading->ring().push_until(state_applied{state}, after(apply_wait)) &&
+           all.membership->ring().push_until(local_version_changed{state->version}, after(apply_wait));
 }
 
 /// platform log -> log_reader -> spreading -> apply -> all that use the configuration
@@ -152,7 +153,9 @@
 
     apply_sinks applied;
     applied.applied =
-        when_wired(all, [&all](const codec::snapshot_pointer& state) { distribute_state(all, state); });
+        when_wired(all, [&all](const codec::snapshot_pointer& state) {
+        return distribute_state(all, state);
+    });
     applied.refused =
         when_wired(all, [&all] { all.spreading->ring().push_until(handover_refused{}, after(apply_wait)); });
     all.apply = std::make_unique<apply_duty>(settings.rings.apply, std::move(applied), all.events);
