--- a/packages/scenario/src/control_api.cpp
+++ b/packages/scenario/src/control_api.cpp
@@ -189,8 +189,8 @@
             event.host = item.at("host").get<std::string>();
             event.number = event_number_of(item.at("event").get<std::string>());
             event.level = item.value("level", "");
-            event.channel = item.value("channel", "");
-            event.text = item.value("text", "");
+            event.channel = item.value("component", "");
+            event.text = item.value("message", "");
             const json fields = item.value("fields", json::object());
             for (const auto& [name, value] : fields.items()) {
                 event.fields[name] = plain_text(value);
