Cut the link to the platform in tests, and serve before the first change

Change: the log client asks the link filter before and after a request; the route table starts empty. Conclusion: a cut is complete, and an early call gets no_route.

--- a/packages/platform/include/boragehollow/platform/http_log_client.hpp
+++ b/packages/platform/include/boragehollow/platform/http_log_client.hpp
@@ -3,6 +3,7 @@
 #include "boragehollow/common/endpoint.hpp"
 #include "boragehollow/platform/memory_log.hpp"
 
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -12,9 +13,12 @@
 /// attempt is known to have sent nothing.
 class http_log_client {
 public:
-    /// `client_name` is sent as the user agent.
-    http_log_client(common::endpoint service, std::string client_name)
-        : m_service(std::move(service)), m_client_name(std::move(client_name)) {}
+    /// Tells whether a test has cut the link to the service.
+    using link_check = std::function<bool(const common::endpoint&)>;
+
+    /// `client_name` is sent as the user agent. Without `link_cut` the link is never cut.
+    http_log_client(common::endpoint service, std::string client_name, link_check link_cut = {})
+        : m_service(std::move(service)), m_client_name(std::move(client_name)), m_link_cut(std::move(link_cut)) {}
 
     tl::expected<revision, log_error> append(const std::string& stream, const std::string& record,
                                              milliseconds timeout) const;
@@ -30,9 +34,11 @@
     };
 
     tl::expected<std::string, log_error> call(const call_parts& parts, milliseconds timeout) const;
+    bool link_cut() const { return m_link_cut && m_link_cut(m_service); }
 
     common::endpoint m_service;
     std::string m_client_name;
+    link_check m_link_cut;
 };
 
 } // namespace boragehollow::platform
--- a/packages/platform/src/http_log_client.cpp
+++ b/packages/platform/src/http_log_client.cpp
@@ -115,6 +115,9 @@
 
 tl::expected<std::string, log_error> http_log_client::call(const call_parts& parts,
                                                            milliseconds timeout) const {
+    if (link_cut()) {
+        return tl::unexpected(unreachable("the link is cut"));
+    }
     const http::verb verb = parts.append ? http::verb::post : http::verb::get;
     request_message request{verb, parts.path, 11, parts.body};
     request.set(http::field::host, common::to_string(m_service));
@@ -122,7 +125,12 @@
     request.keep_alive(false);
     request.prepare_payload();
     try {
-        return exchange(m_service, request, timeout);
+        auto answer = exchange(m_service, request, timeout);
+        // The link was cut while the request was open, so its answer would not have arrived.
+        if (link_cut()) {
+            return tl::unexpected(answer_lost("the link is cut"));
+        }
+        return answer;
     } catch (const boost::system::system_error& error) {
         // Thrown when the process has no descriptors left, before a connection exists.
         return tl::unexpected(unreachable(error.what()));
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -31,11 +31,13 @@
     return common::steady_clock::now() + wait;
 }
 
-platform::log_client make_log_client(const settings::daemon_settings& settings) {
+platform::log_client make_log_client(const pipeline::parts& all) {
+    const settings::daemon_settings& settings = all.settings;
     if (!settings.platform.log) {
         return platform::memory_log_client{std::make_shared<platform::memory_log>(), settings.identity.host};
     }
-    return platform::http_log_client(*settings.platform.log, settings.identity.host);
+    return platform::http_log_client(*settings.platform.log, settings.identity.host,
+                                     [links = all.links](const common::endpoint& to) { return links->blocked(to); });
 }
 
 spreading::peer_view peers_for_spreading(const mesh_view& mesh, const settings::baseline_settings& baseline) {
@@ -139,11 +141,11 @@
 /// platform log -> log_reader -> spreading -> apply -> all that use the configuration
 void join_configuration(pipeline::parts& all) {
     const settings::daemon_settings& settings = all.settings;
-    all.publisher = std::make_unique<publisher_duty>(make_log_client(settings), settings.platform,
+    all.publisher = std::make_unique<publisher_duty>(make_log_client(all), settings.platform,
                                                      common::random_source::from_system(),
                                                      settings.rings.publisher, all.events);
     all.log_reader = std::make_unique<log_reader_duty>(
-        make_log_client(settings), settings.platform, common::random_source::from_system(),
+        make_log_client(all), settings.platform, common::random_source::from_system(),
         settings.rings.log_reader,
         when_wired(all,
                    [&all](spreading_message message) {
@@ -417,7 +419,10 @@
       control_channels(std::make_shared<peer::channel_pool>(control_channel_capacity, links)),
       call_channels(std::make_shared<peer::channel_pool>(call_channel_capacity, links)),
       control(std::make_unique<peer::control_client>(identity, control_channels)),
-      queries(std::make_unique<mesh_queries>(*control, mesh, control_wait)) {}
+      queries(std::make_unique<mesh_queries>(*control, mesh, control_wait)) {
+    // A daemon becomes ready at version 0, before the first change.
+    routes.store(std::make_shared<const routing::route_table>());
+}
 
 pipeline::pipeline(std::unique_ptr<parts> started) : m_parts(std::move(started)) {}
 
