Let groups that start together find each other

Change: a daemon contacts the seeds that it does not know as live members every period at first and every 2 s later; it pings one member of another domain every 2 s; the reconciliation interval shrinks in domains under 20 daemons. Conclusion: the fault was the bootstrap, not the dissemination.

--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -170,7 +170,9 @@
     void notice_own_pause(common::steady_time now);
     void probe_next(common::steady_time now, membership_effects& effects);
     void probe_one(const member& probed, common::steady_time now, membership_effects& effects);
-    void contact_seed(common::steady_time now, membership_effects& effects);
+    void contact_seeds(common::steady_time now, membership_effects& effects);
+    std::vector<common::endpoint> unknown_seeds() const;
+    void ping_distant(common::steady_time now, membership_effects& effects);
     void retry_dead_member(common::steady_time now, membership_effects& effects);
     void send_indirect_pings(common::steady_time now, membership_effects& effects);
     void suspect_failed(common::steady_time now, membership_effects& effects);
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -17,6 +17,15 @@
 constexpr std::size_t leave_fan_out = 6;
 constexpr std::uint64_t periods_between_dead_retries = 10;
 constexpr std::uint64_t periods_between_seed_contacts = 60;
+// A seed that is not known as a live member may belong to a part of the mesh that has not been met yet: groups
+// that start at the same time could otherwise stay apart until the next regular contact.
+constexpr std::uint64_t periods_between_unknown_seeds = 4;
+constexpr std::uint64_t first_periods = 20;
+// Carries news of this domain to the others between two reconciliations.
+constexpr std::uint64_t periods_between_distant_pings = 4;
+// In a small domain few daemons reconcile with other domains, so each of them does it more often.
+constexpr std::chrono::milliseconds sync_interval_per_member{500};
+constexpr std::chrono::seconds shortest_sync_interval{1};
 constexpr std::chrono::minutes expiry_interval{1};
 constexpr std::chrono::seconds early_interval{1};
 // A tick that is later than this was delayed by a pause of this process, not by a busy ring.
@@ -70,9 +79,9 @@
     }
     m_next_probe = now + m_settings.period;
     ++m_periods;
-    const bool alone = m_peers.hosts().empty() && m_distant.hosts().empty();
-    if (alone || m_periods % periods_between_seed_contacts == 0) {
-        contact_seed(now, effects);
+    contact_seeds(now, effects);
+    if (m_periods % periods_between_distant_pings == 0) {
+        ping_distant(now, effects);
     }
     if (m_periods % periods_between_dead_retries == 0) {
         retry_dead_member(now, effects);
@@ -94,14 +103,45 @@
     send(probed.gossip, ping{sequence, m_applied}, std::move(mandatory), now, effects);
 }
 
-void membership_engine::contact_seed(common::steady_time now, membership_effects& effects) {
-    if (m_seeds.empty()) {
+void membership_engine::contact_seeds(common::steady_time now, membership_effects& effects) {
+    const bool alone = m_peers.hosts().empty() && m_distant.hosts().empty();
+    const bool early = m_periods <= first_periods;
+    std::vector<common::endpoint> candidates;
+    if (alone || early || m_periods % periods_between_unknown_seeds == 0) {
+        candidates = unknown_seeds();
+    }
+    if (candidates.empty() && m_periods % periods_between_seed_contacts == 0) {
+        candidates = m_seeds;
+    }
+    if (candidates.empty()) {
         return;
     }
-    const common::endpoint& seed = m_seeds[m_random.index(m_seeds.size())];
+    const common::endpoint& seed = candidates[m_random.index(candidates.size())];
     send(seed, ping{++m_last_sequence, m_applied}, {*m_self}, now, effects);
 }
 
+std::vector<common::endpoint> membership_engine::unknown_seeds() const {
+    std::vector<common::endpoint> unknown = m_seeds;
+    std::erase(unknown, m_self->gossip);
+    if (unknown.empty()) {
+        return unknown;
+    }
+    for (const member_ref& known : m_table.entries()) {
+        if (is_tombstone(*known)) {
+            continue;
+        }
+        std::erase(unknown, known->gossip);
+    }
+    return unknown;
+}
+
+void membership_engine::ping_distant(common::steady_time now, membership_effects& effects) {
+    for (const std::string& host : m_distant.pick(1, {}, m_random)) {
+        const member_ref distant = m_table.find(host);
+        send(distant->gossip, ping{++m_last_sequence, m_applied}, {*m_self}, now, effects);
+    }
+}
+
 void membership_engine::retry_dead_member(common::steady_time now, membership_effects& effects) {
     // After a partition inside the domain both sides hold each other for dead, and only this brings them
     // together.
@@ -226,7 +266,10 @@
     if (now < m_next_reconciliation) {
         return;
     }
-    const auto interval = std::chrono::duration_cast<std::chrono::microseconds>(m_settings.sync_interval);
+    const auto scaled = std::max<std::chrono::milliseconds>(shortest_sync_interval,
+                                                            sync_interval_per_member * (m_peers.hosts().size() + 1));
+    const auto interval =
+        std::chrono::duration_cast<std::chrono::microseconds>(std::min(m_settings.sync_interval, scaled));
     m_next_reconciliation = now + interval * 4 / 5 + m_random.jitter(interval * 2 / 5);
     const bool early = !m_has_whole_table || m_early_reconciliations > 0;
     if (early) {
--- a/packages/membership/tests/membership_engine_test.cpp
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -59,6 +59,33 @@
 }
 
 // Guards against a dead host that stays listed: the design allows about 4 s until the domain knows.
+// Small groups that start at the same time meet inside first; without contacts to the seeds that they do not know
+// yet, a group stayed apart for half a minute.
+TEST(membership_engine, groups_that_start_together_meet_within_ten_seconds) {
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        network net(seed);
+        std::vector<common::endpoint> seeds;
+        for (const char* domain : {"a", "b", "c"}) {
+            for (int index = 1; index <= 3; ++index) {
+                const std::string host = std::string(domain) + std::to_string(index);
+                const auto& node = net.start(host, domain, seeds);
+                if (index <= 2) {
+                    seeds.push_back(node.address);
+                }
+            }
+        }
+        const auto everyone_knows_all = [&] {
+            for (const network::node* node : net.running()) {
+                if (node->engine->counts().alive != 9) {
+                    return false;
+                }
+            }
+            return true;
+        };
+        EXPECT_LT(net.run_until(everyone_knows_all, 30s), 10s) << "seed " << seed;
+    }
+}
+
 TEST(membership_engine, a_dead_member_is_detected) {
     network net(2);
     net.start_domain("a", 50);
