Add tools/measure, counters of the control plane and the shared queue baseline

Cause: no command compared the product with its baselines, the bytes of the control plane were not counted, and the setting baseline.admission = off_shared_fifo was read but had no effect.

Change: tools/measure builds a release and runs boragehollow_measure, which starts the real programs on loopback and measures product and baseline in turn. /metrics has boragehollow_control_bytes and boragehollow_control_messages by transport and direction. With off_shared_fifo the admission duty uses one queue in the order of arrival without classes, fairness, early refusal and adaptive limit.

--- a/packages/admission/include/boragehollow/admission/admission_controller.hpp
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -20,6 +20,7 @@
     milliseconds key_window{120'000};       ///< Idempotency keys are kept for this time after their end.
     std::size_t max_call_ids = 262'144;     ///< About 20 MB when full.
     std::size_t max_keys = 65'536;
+    bool early_refusal = true; ///< Refuses a call at once when its expected wait outlasts its deadline.
 };
 
 /// Figures for metrics and for the load that answers carry to the caller's daemon.
--- a/packages/admission/src/admission_controller.cpp
+++ b/packages/admission/src/admission_controller.cpp
@@ -153,7 +153,7 @@
     fair_queue& queue = queue_of(request.work);
     const steady_time expires = std::min(request.deadline, now + m_policy.queue_max_wait);
     const microseconds wait = expected_wait(queue, request);
-    if (now + wait > expires) {
+    if (m_settings.early_refusal && now + wait > expires) {
         refuse(request, refusal_reason::expected_wait, round_up(wait), out);
         return;
     }
--- a/packages/admission/tests/admission_controller_test.cpp
+++ b/packages/admission/tests/admission_controller_test.cpp
@@ -235,5 +235,29 @@
     EXPECT_EQ(grants.size(), 1U);
 }
 
+class without_early_refusal : public admission_fixture {
+protected:
+    static admission_settings settings_without() {
+        admission_settings settings;
+        settings.early_refusal = false;
+        return settings;
+    }
+    without_early_refusal() : admission_fixture(settings_without()) {}
+};
+
+// Guards against a baseline that still profits from early refusal: the call waits until its deadline.
+TEST_F(without_early_refusal, a_call_waits_although_its_deadline_is_too_near) {
+    set_target(1);
+    finish(submit(request("a")), call_result::answered, milliseconds(800));
+    submit(request("b"));
+    admission_request hopeless = request("c");
+    hopeless.deadline = now + milliseconds(100);
+    submit(hopeless);
+    EXPECT_TRUE(refusals.empty());
+    now += milliseconds(101);
+    note(controller.tick(now));
+    EXPECT_EQ(last_refusal(), refusal_reason::deadline_passed);
+}
+
 } // namespace
 } // namespace boragehollow::admission
--- a/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/admission_duty.hpp
@@ -57,7 +57,9 @@
 /// Thread that owns the admission controller of the target on this host.
 class admission_duty {
 public:
-    admission_duty(admission::admission_settings settings, std::size_t ring_size);
+    /// With `shared_fifo` (a baseline for measurements) all calls wait in one queue in the order of arrival,
+    /// whatever their class and caller, without early refusal and with all slots in use.
+    admission_duty(admission::admission_settings settings, std::size_t ring_size, bool shared_fifo = false);
     ~admission_duty();
 
     /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
@@ -81,6 +83,7 @@
     void deliver(const admission::admission_controller::effects& effects, common::steady_time now);
 
     admission::admission_controller m_controller;
+    bool m_shared_fifo;
     std::unordered_map<std::uint64_t, common::reply_slot<admission_answer>> m_waiting;
     std::uint64_t m_last_ticket = 0;
     std::string m_service;
--- a/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
@@ -4,6 +4,7 @@
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/hybrid_clock.hpp"
 #include "boragehollow/common/reply_slot.hpp"
+#include "boragehollow/common/traffic_counter.hpp"
 #include "boragehollow/daemon/mesh_view.hpp"
 #include "boragehollow/membership/membership_engine.hpp"
 #include "boragehollow/peer/link_filter.hpp"
@@ -80,6 +81,9 @@
     std::optional<membership::progress_counts> progress(common::revision version,
                                                         common::steady_time deadline);
 
+    /// Datagrams without the headers of UDP and IP.
+    const common::traffic_counter& traffic() const { return m_traffic; }
+
 private:
     void run();
     void receive(const std::stop_token& stop);
@@ -96,6 +100,7 @@
     std::shared_ptr<const peer::link_filter> m_links;
     membership_sinks m_sinks;
     const telemetry::event_log& m_events;
+    common::traffic_counter m_traffic;
     common::bounded_ring<membership_message> m_ring;
     common::duty m_receiver;
     common::duty m_thread;
--- a/packages/daemon/src/admission_duty.cpp
+++ b/packages/daemon/src/admission_duty.cpp
@@ -6,8 +6,30 @@
 
 namespace boragehollow::daemon {
 
-admission_duty::admission_duty(admission::admission_settings settings, std::size_t ring_size)
-    : m_controller(settings), m_ring(ring_size),
+namespace {
+
+/// A long queue that calls leave only by a slot or by their deadline.
+config::admission_policy shared_fifo_policy() {
+    config::admission_policy policy;
+    policy.queue_length = 10'000;
+    policy.queue_max_wait = std::chrono::minutes(1);
+    policy.reserved_short_slots = 0;
+    policy.long_threshold = std::chrono::minutes(10);
+    policy.adaptive_limit = false;
+    policy.fair_queueing = false;
+    return policy;
+}
+
+admission::admission_settings settings_for(admission::admission_settings settings, bool shared_fifo) {
+    settings.early_refusal = settings.early_refusal && !shared_fifo;
+    return settings;
+}
+
+} // namespace
+
+admission_duty::admission_duty(admission::admission_settings settings, std::size_t ring_size,
+                               bool shared_fifo)
+    : m_controller(settings_for(settings, shared_fifo)), m_shared_fifo(shared_fifo), m_ring(ring_size),
       m_thread("admission", [this](const std::stop_token&) { run(); }) {}
 
 admission_duty::~admission_duty() {
@@ -48,6 +70,9 @@
 void admission_duty::handle(submit_call& message, common::steady_time now) {
     message.request.id = {++m_last_ticket};
     m_waiting.emplace(m_last_ticket, message.reply);
+    if (m_shared_fifo) {
+        message.request.work = config::work_class::short_work;
+    }
     deliver(m_controller.submit(std::move(message.request), now), now);
 }
 
@@ -74,7 +99,11 @@
     if (stored == nullptr) {
         return;
     }
-    deliver(m_controller.update_policy(std::get<config::service_policy>(stored->value).admission, now), now);
+    config::admission_policy policy = std::get<config::service_policy>(stored->value).admission;
+    if (m_shared_fifo) {
+        policy = shared_fifo_policy();
+    }
+    deliver(m_controller.update_policy(policy, now), now);
 }
 
 void admission_duty::handle(const start_admission_drain&, common::steady_time now) {
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -96,6 +96,7 @@
         if (received == nullptr || m_links->blocked(received->from)) {
             continue;
         }
+        m_traffic.received(received->bytes.size());
         auto decoded = codec::decode_datagram(received->bytes, m_mesh);
         if (!decoded) {
             m_events.emit(event_number::datagram_invalid, {{"from", common::to_string(received->from)},
@@ -188,7 +189,9 @@
         return;
     }
     // A lost datagram is a normal event for the failure detector, and so is a failed send.
-    (void)m_socket.send(*bytes, effect.to);
+    if (m_socket.send(*bytes, effect.to)) {
+        m_traffic.sent(bytes->size());
+    }
 }
 
 void membership_duty::report(const membership::member_event& event) {
--- a/packages/peer/include/boragehollow/peer/control_client.hpp
+++ b/packages/peer/include/boragehollow/peer/control_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/traffic_counter.hpp"
 #include "boragehollow/peer/channel_pool.hpp"
 #include "boragehollow/peer/peer_header.hpp"
 
@@ -56,6 +57,9 @@
     void timeline(const common::endpoint& remote, v1::TimelineQuery request,
                   std::chrono::milliseconds timeout, control_answer<v1::TimelineReply> answered);
 
+    /// Encoded requests sent and answers received, without the framing of gRPC.
+    const common::traffic_counter& traffic() const { return m_traffic; }
+
 private:
     template <class Request, class Reply, class Start>
     void send(const common::endpoint& remote, Request request, std::chrono::milliseconds timeout,
@@ -63,6 +67,7 @@
 
     peer_identity m_identity;
     std::shared_ptr<channel_pool> m_channels;
+    common::traffic_counter m_traffic;
     std::mutex m_mutex;
     std::condition_variable m_none_pending;
     std::size_t m_pending = 0;
--- a/packages/peer/include/boragehollow/peer/peer_server.hpp
+++ b/packages/peer/include/boragehollow/peer/peer_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/traffic_counter.hpp"
 #include "boragehollow/peer/call_messages.hpp"
 #include "boragehollow/peer/peer_header.hpp"
 
@@ -71,6 +72,10 @@
 
     const common::endpoint& local() const;
 
+    /// Encoded control requests received and answers sent, without the framing of gRPC. Calls are not
+    /// counted.
+    const common::traffic_counter& control_traffic() const;
+
     /// Refuses new streams, waits for those under way until `grace` is over, then cuts them.
     void stop(std::chrono::milliseconds grace);
 
--- a/packages/peer/src/control_client.cpp
+++ b/packages/peer/src/control_client.cpp
@@ -38,6 +38,7 @@
     pending->stub = v1::Peer::NewStub(channel);
     pending->request = std::move(request);
     m_identity.write(*pending->request.mutable_header());
+    m_traffic.sent(pending->request.ByteSizeLong());
     pending->context.set_deadline(std::chrono::system_clock::now() + timeout);
     {
         const std::lock_guard lock(m_mutex);
@@ -45,6 +46,7 @@
     }
     auto done = [this, pending, answered = std::move(answered)](const grpc::Status& status) mutable {
         if (status.ok()) {
+            m_traffic.received(pending->reply.ByteSizeLong());
             answered(std::move(pending->reply));
         } else {
             answered(tl::unexpected(control_error{status.error_message()}));
--- a/packages/peer/src/peer_server.cpp
+++ b/packages/peer/src/peer_server.cpp
@@ -64,35 +64,38 @@
         return grpc::Status::OK;
     }
 
-    grpc::Status Push(grpc::ServerContext* context, const v1::PushRequest* request, v1::PushReply*) override {
+    grpc::Status Push(grpc::ServerContext* context, const v1::PushRequest* request,
+                      v1::PushReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
-        return checked.ok() ? answer(m_handlers.push(*request)) : checked;
+        return checked.ok() ? answer(m_handlers.push(*request), *request, *reply) : checked;
     }
 
     grpc::Status Pull(grpc::ServerContext* context, const v1::PullRequest* request,
                       v1::PullReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
-        return checked.ok() ? answer(m_handlers.pull(*request, *reply)) : checked;
+        return checked.ok() ? answer(m_handlers.pull(*request, *reply), *request, *reply) : checked;
     }
 
     grpc::Status Sync(grpc::ServerContext* context, const v1::SyncRequest* request,
                       v1::SyncReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
-        return checked.ok() ? answer(m_handlers.sync(*request, *reply)) : checked;
+        return checked.ok() ? answer(m_handlers.sync(*request, *reply), *request, *reply) : checked;
     }
 
     grpc::Status Progress(grpc::ServerContext* context, const v1::ProgressQuery* request,
                           v1::ProgressReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
-        return checked.ok() ? answer(m_handlers.progress(*request, *reply)) : checked;
+        return checked.ok() ? answer(m_handlers.progress(*request, *reply), *request, *reply) : checked;
     }
 
     grpc::Status Timeline(grpc::ServerContext* context, const v1::TimelineQuery* request,
                           v1::TimelineReply* reply) override {
         const grpc::Status checked = check(*context, request->header());
-        return checked.ok() ? answer(m_handlers.timeline(*request, *reply)) : checked;
+        return checked.ok() ? answer(m_handlers.timeline(*request, *reply), *request, *reply) : checked;
     }
 
+    const common::traffic_counter& traffic() const { return m_traffic; }
+
 private:
     grpc::Status check(const grpc::ServerContext& context, const v1::Header& header) const {
         const auto refusal = m_identity.check(header);
@@ -105,8 +108,11 @@
         return {grpc::StatusCode::FAILED_PRECONDITION, reason};
     }
 
-    static grpc::Status answer(bool handled) {
+    template <class Request, class Reply>
+    grpc::Status answer(bool handled, const Request& request, const Reply& reply) {
+        m_traffic.received(request.ByteSizeLong());
         if (handled) {
+            m_traffic.sent(reply.ByteSizeLong());
             return grpc::Status::OK;
         }
         return {grpc::StatusCode::UNAVAILABLE, "the daemon is too busy to answer"};
@@ -114,6 +120,7 @@
 
     peer_identity m_identity;
     peer_handlers m_handlers;
+    common::traffic_counter m_traffic;
 };
 
 } // namespace
@@ -137,6 +144,10 @@
     return m_state->local;
 }
 
+const common::traffic_counter& peer_server::control_traffic() const {
+    return m_state->service.traffic();
+}
+
 void peer_server::stop(std::chrono::milliseconds grace) {
     if (!m_state->server) {
         return;
--- a/packages/peer/tests/control_test.cpp
+++ b/packages/peer/tests/control_test.cpp
@@ -42,6 +42,29 @@
     EXPECT_EQ(result->responder_version(), 7U);
 }
 
+// Guards against a side or a direction that is left out of the figures of the control plane.
+TEST(control_client, both_sides_count_the_same_bytes) {
+    peer_handlers handlers;
+    handlers.pull = [](const v1::PullRequest&, v1::PullReply& reply) {
+        reply.set_responder_version(7);
+        return true;
+    };
+    handlers.refused = [](const std::string&, const std::string&) {};
+    auto server = peer_server::start({{"127.0.0.1", 0}, 16}, identity("test"), handlers);
+    ASSERT_TRUE(server);
+    auto channels = std::make_shared<channel_pool>(4, std::make_shared<link_filter>());
+    control_client client(identity("test"), channels);
+    const common::reply_slot<pull_result> slot;
+    client.pull((*server)->local(), {}, 2s, [slot](pull_result result) { slot.set(std::move(result)); });
+    ASSERT_TRUE(slot.wait_until(common::steady_clock::now() + 5s));
+    const auto sent = client.traffic().read();
+    const auto served = (*server)->control_traffic().read();
+    EXPECT_GT(sent.sent_bytes, 0U);
+    EXPECT_EQ(sent.sent_bytes, served.received_bytes);
+    EXPECT_EQ(sent.received_bytes, served.sent_bytes);
+    EXPECT_EQ(served.sent_messages, 1U);
+}
+
 TEST(control_client, busy_daemon_gives_an_error) {
     EXPECT_FALSE(pull_once("test", false));
 }
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -234,7 +234,7 @@
         common::random_source::from_system(), settings.rings.dispatch);
     all.admission = std::make_unique<admission_duty>(
         admission::admission_settings{settings.calls.longest_deadline, settings.calls.key_window},
-        settings.rings.admission);
+        settings.rings.admission, settings.baseline.admission == settings::admission_mode::off_shared_fifo);
     target_runner_settings runner_settings;
     runner_settings.max_idle_connections = settings.limits.target_connections;
     all.runner = std::make_unique<target_runner>(runner_settings, *all.admission, all.metrics);
@@ -350,6 +350,26 @@
     add("timeline", all.timeline);
 }
 
+/// Bytes and messages of the control plane. Reads of the platform log are counted by the platform.
+void register_traffic(pipeline::parts& all) {
+    const auto add = [&all](const std::string& transport, const common::traffic_counter& traffic) {
+        const auto series = [&](const std::string& name, const std::string& direction, auto member) {
+            all.metrics.add_computed_gauge(
+                name, "Control plane by transport since the start, without framing",
+                {{"transport", transport}, {"direction", direction}},
+                [&traffic, member] { return static_cast<double>(traffic.read().*member); });
+        };
+        using totals = common::traffic_counter::totals;
+        series("boragehollow_control_bytes", "sent", &totals::sent_bytes);
+        series("boragehollow_control_bytes", "received", &totals::received_bytes);
+        series("boragehollow_control_messages", "sent", &totals::sent_messages);
+        series("boragehollow_control_messages", "received", &totals::received_messages);
+    };
+    add("gossip", all.membership->traffic());
+    add("peer_client", all.control->traffic());
+    add("peer_server", all.peer_server->control_traffic());
+}
+
 tl::expected<std::unique_ptr<web::http_server>, std::string> open_http(const common::endpoint& listen,
                                                                        std::size_t threads,
                                                                        const settings::limit_settings& limits,
@@ -443,6 +463,7 @@
     join_membership(*all, std::move(*socket), own_member(settings, gossip, all->peer_server->local()));
     all->wired.count_down();
     register_rings(*all);
+    register_traffic(*all);
     const auto opened = open_http_sources(*all);
     if (!opened) {
         return tl::unexpected(opened.error());
--- /dev/null
+++ b/tools/measure_program/convergence.cpp
@@ -0,0 +1,189 @@
+#include "control_api.hpp"
+#include "measurements.hpp"
+#include "svg_chart.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <optional>
+#include <thread>
+
+namespace boragehollow::measure {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr milliseconds between_changes = 250ms;
+constexpr milliseconds longest_wait = 30s;
+constexpr std::uint16_t config_applied = 1301;
+constexpr std::uint16_t config_rejected = 1302;
+constexpr std::uint16_t snapshot_loaded = 1306;
+
+struct sent_change {
+    std::uint64_t version = 0;
+    common::wall_time sent{};
+};
+
+/// Times by phase, of every daemon and change.
+using samples = std::map<std::string, std::vector<double>>;
+
+std::string change_document(context& shared) {
+    return R"({"kind": "route", "name": "probe", "path_prefix": "/probe-)" +
+           shared.random.identifier().substr(0, 8) + R"(", "service": "probe"})";
+}
+
+std::optional<std::uint64_t> version_of(const telemetry::timeline_event& event) {
+    const bool applied =
+        event.number == config_applied || event.number == config_rejected || event.number == snapshot_loaded;
+    const auto field = event.fields.find("version");
+    if (!applied || field == event.fields.end()) {
+        return std::nullopt;
+    }
+    std::uint64_t version = 0;
+    std::from_chars(field->second.data(), field->second.data() + field->second.size(), version);
+    return version;
+}
+
+/// When the daemon was first at or past `version`. Any daemon answers with the events of all.
+std::optional<common::wall_time> in_force_at(const std::vector<telemetry::timeline_event>& events,
+                                             const std::string& host, std::uint64_t version) {
+    std::optional<common::wall_time> first;
+    for (const telemetry::timeline_event& event : events) {
+        const auto applied = version_of(event);
+        if (event.host == host && applied && *applied >= version && (!first || event.at.wall < *first)) {
+            first = event.at.wall;
+        }
+    }
+    return first;
+}
+
+result<std::vector<double>> measure_changes(context& shared, test_mesh& mesh) {
+    const int count = shared.options.quick ? 4 : 10;
+    const std::vector<std::size_t> live = mesh.live();
+    std::vector<sent_change> changes;
+    for (int i = 0; i < count; ++i) {
+        const std::size_t via = live.at(shared.random.index(live.size()));
+        const std::string document = change_document(shared);
+        const common::wall_time sent = common::wall_now();
+        const auto version = mesh.apply(document, via, shared.random);
+        if (!version) {
+            return tl::unexpected("change: " + version.error());
+        }
+        changes.push_back({*version, sent});
+        std::this_thread::sleep_for(between_changes);
+    }
+    if (auto reached = mesh.wait_in_force(changes.back().version, longest_wait); !reached) {
+        return tl::unexpected(reached.error());
+    }
+    std::vector<double> times;
+    for (const std::size_t daemon : live) {
+        const auto events = scenario::control_api::read_timeline(mesh.place(daemon).operators);
+        if (!events) {
+            return tl::unexpected(events.error());
+        }
+        for (const sent_change& change : changes) {
+            const auto at = in_force_at(*events, mesh.place(daemon).name, change.version);
+            if (!at) {
+                return tl::unexpected(mesh.place(daemon).name + " has no event of version " +
+                                      std::to_string(change.version));
+            }
+            times.push_back(std::chrono::duration<double, std::milli>(*at - change.sent).count());
+        }
+    }
+    return times;
+}
+
+/// A log reader, so that the loss of a role is measured; else any daemon.
+std::size_t choose_victim(context& shared, const test_mesh& mesh) {
+    const std::vector<std::size_t> live = mesh.live();
+    for (const std::size_t daemon : live) {
+        const auto events = scenario::control_api::read_timeline(mesh.place(daemon).operators);
+        const bool reader = events && std::any_of(events->begin(), events->end(), [&](const auto& event) {
+                                return event.number == 1201 && event.host == mesh.place(daemon).name;
+                            });
+        if (reader) {
+            return daemon;
+        }
+    }
+    return live.at(shared.random.index(live.size()));
+}
+
+result<void> measure_mesh(context& shared, side of, const mesh_size& size, samples& all) {
+    mesh_plan plan{size, {}, true};
+    if (of == side::baseline) {
+        plan.settings["baseline.log_reading"] = "\"every_daemon\"";
+    }
+    const auto begun = common::steady_clock::now();
+    auto mesh = test_mesh::start(shared, plan);
+    if (!mesh) {
+        return tl::unexpected(mesh.error());
+    }
+    const auto joined = std::chrono::duration<double>(common::steady_clock::now() - begun);
+    shared.figures.add(of, "convergence." + to_string(size) + ".start_until_all_know_all", "s",
+                       joined.count());
+    const std::string policy = R"({"kind": "service_policy", "name": "probe"})";
+    const auto applied = (*mesh)->apply(policy, 0, shared.random);
+    if (!applied) {
+        return tl::unexpected(applied.error());
+    }
+    if (auto reached = (*mesh)->wait_in_force(*applied, longest_wait); !reached) {
+        return tl::unexpected(reached.error());
+    }
+    const std::size_t third = size.daemons() / 3;
+    for (const std::size_t dead : {std::size_t{0}, std::size_t{1}, third}) {
+        // The changes follow at once, before the failure detector knows of the loss.
+        while ((*mesh)->live().size() > size.daemons() - dead) {
+            (*mesh)->kill(choose_victim(shared, **mesh));
+        }
+        const auto times = measure_changes(shared, **mesh);
+        if (!times) {
+            return tl::unexpected(times.error());
+        }
+        const std::string name = "convergence." + to_string(size) + ".dead" + std::to_string(dead);
+        shared.figures.add(of, name + ".p50", "ms", percentile(*times, 0.5));
+        shared.figures.add(of, name + ".p99", "ms", percentile(*times, 0.99));
+        shared.figures.add(of, name + ".worst", "ms", percentile(*times, 1));
+        std::vector<double>& pool = all[name + (of == side::product ? " product" : " every_daemon")];
+        pool.insert(pool.end(), times->begin(), times->end());
+    }
+    return {};
+}
+
+void draw(const context& shared, const samples& all) {
+    if (shared.options.svg_folder.empty()) {
+        return;
+    }
+    chart drawing{"Time until a change is in force, by share of daemons", "ms", "share", {}};
+    const std::string largest = "convergence." + to_string(shared.options.sizes.back());
+    for (const auto& [name, times] : all) {
+        if (!name.starts_with(largest)) {
+            continue;
+        }
+        chart_series series{name.substr(largest.size() + 1), {}};
+        for (int step = 0; step <= 100; ++step) {
+            series.points.emplace_back(percentile(times, step / 100.0), step / 100.0);
+        }
+        drawing.series.push_back(std::move(series));
+    }
+    write_svg(drawing, shared.options.svg_folder / "convergence.svg");
+}
+
+} // namespace
+
+result<void> run(const convergence&, context& shared) {
+    samples all;
+    for (const mesh_size& size : shared.options.sizes) {
+        for (std::size_t round = 0; round < shared.options.rounds; ++round) {
+            for (const side of : {side::product, side::baseline}) {
+                if (auto measured = measure_mesh(shared, of, size, all); !measured) {
+                    return tl::unexpected(to_string(size) + ": " + measured.error());
+                }
+            }
+        }
+    }
+    draw(shared, all);
+    return {};
+}
+
+} // namespace boragehollow::measure
--- /dev/null
+++ b/tools/measure_program/interrupt.cpp
@@ -0,0 +1,50 @@
+#include "interrupt.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <system_error>
+
+namespace boragehollow::measure {
+
+namespace {
+
+constexpr timespec check_interval{0, 200'000'000};
+constexpr int interrupted = 130;
+
+void kill_children() {
+    for (const auto& thread : std::filesystem::directory_iterator("/proc/self/task")) {
+        std::ifstream children(thread.path() / "children");
+        for (pid_t id = 0; children >> id;) {
+            ::kill(id, SIGKILL);
+        }
+    }
+}
+
+} // namespace
+
+sigset_t block_stop_signals() {
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGTERM);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    return signals;
+}
+
+std::unique_ptr<common::duty> end_on_signal(const sigset_t& signals, const std::filesystem::path& scratch) {
+    return std::make_unique<common::duty>("signals", [signals, scratch](const std::stop_token& stop) {
+        while (!stop.stop_requested()) {
+            if (sigtimedwait(&signals, nullptr, &check_interval) < 0) {
+                continue;
+            }
+            kill_children();
+            std::error_code ignored;
+            if (!scratch.empty()) {
+                std::filesystem::remove_all(scratch, ignored);
+            }
+            std::_Exit(interrupted);
+        }
+    });
+}
+
+} // namespace boragehollow::measure
--- /dev/null
+++ b/tools/measure_program/test_mesh.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "boragehollow/common/random_source.hpp"
+#include "boragehollow/scenario/child_process.hpp"
+#include "boragehollow/scenario/mesh_layout.hpp"
+#include "figures.hpp"
+#include "free_ports.hpp"
+#include "options.hpp"
+
+#include <tl/expected.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace boragehollow::measure {
+
+using std::chrono::milliseconds;
+
+template <class Value>
+using result = tl::expected<Value, std::string>;
+
+/// What every measurement uses.
+struct context {
+    measure_options options;
+    std::filesystem::path directory; ///< For settings files and logs.
+    scenario::free_ports ports;
+    common::random_source random;
+    figure_table figures;
+    std::size_t meshes = 0; ///< Meshes started so far; names their folders.
+
+    std::filesystem::path program(const std::string& path) const { return options.build / path; }
+};
+
+struct mesh_plan {
+    mesh_size size;
+    std::map<std::string, std::string> settings; ///< Added to those of every daemon.
+    /// Reconciles the member tables every second instead of every 10 s: daemons that start together then know
+    /// each other within seconds, not within half a minute. Not for figures of the control plane's own use.
+    bool quick_join = false;
+};
+
+struct target_plan {
+    std::string service;
+    std::size_t slots = 6;
+    milliseconds work{5};
+};
+
+/// A platform log, daemons and targets on loopback. They end with the object.
+class test_mesh {
+public:
+    static result<std::unique_ptr<test_mesh>> start(context& shared, const mesh_plan& plan);
+
+    test_mesh() = default;
+    test_mesh(const test_mesh&) = delete;
+    test_mesh& operator=(const test_mesh&) = delete;
+    ~test_mesh();
+
+    std::size_t size() const { return m_layout.daemons.size(); }
+    const scenario::daemon_place& place(std::size_t daemon) const { return m_layout.daemons.at(daemon); }
+    const common::endpoint& platform() const { return m_layout.platform; }
+    const std::filesystem::path& folder() const { return m_folder; }
+
+    pid_t process(std::size_t daemon) const { return m_daemons.at(daemon)->id(); }
+    std::vector<std::size_t> live() const;
+    void kill(std::size_t daemon);
+
+    /// Waits until all live daemons are ready and know each other.
+    result<void> wait_settled(milliseconds limit) const;
+
+    /// Waits until all live daemons have applied `version`.
+    result<void> wait_in_force(std::uint64_t version, milliseconds limit) const;
+
+    /// Puts the resources of a JSON document; gives the version. A change of unknown outcome is repeated.
+    result<std::uint64_t> apply(const std::string& document, std::size_t via, common::random_source& random);
+
+    /// Starts a target beside a daemon.
+    result<common::endpoint> start_target(context& shared, std::size_t daemon, const target_plan& plan);
+
+private:
+    scenario::mesh_layout m_layout;
+    std::filesystem::path m_folder;
+    std::optional<scenario::child_process> m_platform;
+    std::vector<std::optional<scenario::child_process>> m_daemons;
+    std::vector<scenario::child_process> m_targets;
+};
+
+} // namespace boragehollow::measure
