Contact seeds often in the first seconds of a daemon

Cause: daemons that start together ask one random seed each and form groups that do not know each other; a seed was asked again only every 60 periods (30 s).

Change: during the first 12 periods (6 s) a daemon asks a seed in every second period.

--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t leave_fan_out = 6;
 constexpr std::uint64_t periods_between_dead_retries = 10;
 constexpr std::uint64_t periods_between_seed_contacts = 60;
+// Daemons that start together can form groups that do not know each other, and only a seed joins them.
+constexpr std::uint64_t early_periods = 12;
+constexpr std::uint64_t periods_between_early_seed_contacts = 2;
 constexpr std::chrono::minutes expiry_interval{1};
 constexpr std::chrono::seconds early_interval{1};
 // A tick that is later than this was delayed by a pause of this process, not by a busy ring.
@@ -71,7 +74,9 @@
     m_next_probe = now + m_settings.period;
     ++m_periods;
     const bool alone = m_peers.hosts().empty() && m_distant.hosts().empty();
-    if (alone || m_periods % periods_between_seed_contacts == 0) {
+    const std::uint64_t interval =
+        m_periods <= early_periods ? periods_between_early_seed_contacts : periods_between_seed_contacts;
+    if (alone || m_periods % interval == 0) {
         contact_seed(now, effects);
     }
     if (m_periods % periods_between_dead_retries == 0) {
--- a/packages/membership/tests/membership_engine_test.cpp
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -58,6 +58,28 @@
     EXPECT_EQ(net.events_of(member_event_kind::suspected), 0U);
 }
 
+// Guards against groups of daemons that start together, each with another seed, and stay apart for half a
+// minute.
+TEST(membership_engine, daemons_that_start_together_form_one_mesh) {
+    std::vector<common::endpoint> seeds;
+    for (const std::uint16_t first : {0, 4, 8}) {
+        for (const std::uint16_t index : {first, static_cast<std::uint16_t>(first + 1)}) {
+            // The network gives the addresses in the order of the starts.
+            seeds.push_back(
+                {"10.0." + std::to_string(index) + ".4", static_cast<std::uint16_t>(1001 + index)});
+        }
+    }
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        network net(seed);
+        for (const std::string domain : {"a", "b", "c"}) {
+            for (int i = 0; i < 4; ++i) {
+                net.start(domain + "-" + std::to_string(i), domain, seeds);
+            }
+        }
+        EXPECT_LT(net.run_until([&] { return all_see(net, 12); }, 60s), 10s) << "seed " << seed;
+    }
+}
+
 // Guards against a dead host that stays listed: the design allows about 4 s until the domain knows.
 TEST(membership_engine, a_dead_member_is_detected) {
     network net(2);
