--- a/tools/measure_program/control_plane.cpp
+++ b/tools/measure_program/control_plane.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <thread>
 
 namespace boragehollow::measure {
@@ -55,18 +56,17 @@
     });
 }
 
+/// Policies, routes and target rules of the services from `first` up to `last`.
 std::string service_document(std::size_t first, std::size_t last) {
-    std::string list;
+    std::ostringstream list;
     for (std::size_t i = first; i < last; ++i) {
-        const std::string number = std::to_string(i);
-        list += list.empty() ? "" : ", ";
-        list += R"({"kind": "service_policy", "name": "service-)" + number + R"("}, )";
-        list += R"({"kind": "route", "name": "route-)" + number + R"(", "host": "h)" + number +
-                R"(.example", "path_prefix": "/api", "service": "service-)" + number + R"("}, )";
-        list += R"({"kind": "target_rule", "name": "rule-)" + number + R"(", "service": "service-)" + number +
-                R"("})";
+        list << (i > first ? ", " : "") << R"({"kind": "service_policy", "name": "service-)" << i << R"("}, )"
+             << R"({"kind": "route", "name": "route-)" << i << R"(", "host": "h)" << i
+             << R"(.example", "path_prefix": "/api", "service": "service-)" << i << R"("}, )"
+             << R"({"kind": "target_rule", "name": "rule-)" << i << R"(", "service": "service-)" << i
+             << R"("})";
     }
-    return R"({"resources": [)" + list + "]}";
+    return R"({"resources": [)" + list.str() + "]}";
 }
 
 result<void> apply_resources(context& shared, test_mesh& mesh, std::size_t services) {
