Format the merged sources

Cause: the merged files were not formatted together. Change: clang-format only. Conclusion: the lint check compares equal text.

--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -17,8 +17,8 @@
 constexpr std::size_t leave_fan_out = 6;
 constexpr std::uint64_t periods_between_dead_retries = 10;
 constexpr std::uint64_t periods_between_seed_contacts = 60;
-// A seed that is not known as a live member may belong to a part of the mesh that has not been met yet: groups
-// that start at the same time could otherwise stay apart until the next regular contact.
+// A seed that is not known as a live member may belong to a part of the mesh that has not been met yet:
+// groups that start at the same time could otherwise stay apart until the next regular contact.
 constexpr std::uint64_t periods_between_unknown_seeds = 4;
 constexpr std::uint64_t first_periods = 20;
 // Carries news of this domain to the others between two reconciliations.
@@ -266,8 +266,8 @@
     if (now < m_next_reconciliation) {
         return;
     }
-    const auto scaled = std::max<std::chrono::milliseconds>(shortest_sync_interval,
-                                                            sync_interval_per_member * (m_peers.hosts().size() + 1));
+    const auto scaled = std::max<std::chrono::milliseconds>(
+        shortest_sync_interval, sync_interval_per_member * (m_peers.hosts().size() + 1));
     const auto interval =
         std::chrono::duration_cast<std::chrono::microseconds>(std::min(m_settings.sync_interval, scaled));
     m_next_reconciliation = now + interval * 4 / 5 + m_random.jitter(interval * 2 / 5);
--- a/packages/membership/tests/membership_engine_test.cpp
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -81,8 +81,8 @@
 }
 
 // Guards against a dead host that stays listed: the design allows about 4 s until the domain knows.
-// Small groups that start at the same time meet inside first; without contacts to the seeds that they do not know
-// yet, a group stayed apart for half a minute.
+// Small groups that start at the same time meet inside first; without contacts to the seeds that they do not
+// know yet, a group stayed apart for half a minute.
 TEST(membership_engine, groups_that_start_together_meet_within_ten_seconds) {
     for (std::uint64_t seed = 1; seed <= 10; ++seed) {
         network net(seed);
--- a/packages/peer/src/link_filter.cpp
+++ b/packages/peer/src/link_filter.cpp
@@ -2,7 +2,9 @@
 
 namespace boragehollow::peer {
 
-link_filter::link_filter() { m_blocked.store(std::make_shared<const endpoint_set>()); }
+link_filter::link_filter() {
+    m_blocked.store(std::make_shared<const endpoint_set>());
+}
 
 void link_filter::block_only(std::set<common::endpoint> blocked) {
     m_blocked.store(std::make_shared<const endpoint_set>(std::move(blocked)));
--- a/packages/platform/include/boragehollow/platform/http_log_client.hpp
+++ b/packages/platform/include/boragehollow/platform/http_log_client.hpp
@@ -18,7 +18,8 @@
 
     /// `client_name` is sent as the user agent. Without `link_cut` the link is never cut.
     http_log_client(common::endpoint service, std::string client_name, link_check link_cut = {})
-        : m_service(std::move(service)), m_client_name(std::move(client_name)), m_link_cut(std::move(link_cut)) {}
+        : m_service(std::move(service)), m_client_name(std::move(client_name)),
+          m_link_cut(std::move(link_cut)) {}
 
     tl::expected<revision, log_error> append(const std::string& stream, const std::string& record,
                                              milliseconds timeout) const;
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -36,8 +36,9 @@
     if (!settings.platform.log) {
         return platform::memory_log_client{std::make_shared<platform::memory_log>(), settings.identity.host};
     }
-    return platform::http_log_client(*settings.platform.log, settings.identity.host,
-                                     [links = all.links](const common::endpoint& to) { return links->blocked(to); });
+    return platform::http_log_client(
+        *settings.platform.log, settings.identity.host,
+        [links = all.links](const common::endpoint& to) { return links->blocked(to); });
 }
 
 spreading::peer_view peers_for_spreading(const mesh_view& mesh, const settings::baseline_settings& baseline) {
@@ -154,10 +155,8 @@
         all.events);
 
     apply_sinks applied;
-    applied.applied =
-        when_wired(all, [&all](const codec::snapshot_pointer& state) {
-        return distribute_state(all, state);
-    });
+    applied.applied = when_wired(
+        all, [&all](const codec::snapshot_pointer& state) { return distribute_state(all, state); });
     applied.refused =
         when_wired(all, [&all] { all.spreading->ring().push_until(handover_refused{}, after(apply_wait)); });
     all.apply = std::make_unique<apply_duty>(settings.rings.apply, std::move(applied), all.events);
