--- a/packages/peer/src/call_exchange.cpp
+++ b/packages/peer/src/call_exchange.cpp
@@ -31,6 +31,33 @@
            status.error_code() == grpc::StatusCode::FAILED_PRECONDITION;
 }
 
+/// Completion queue of one worker thread. Making one for each call costs a system call for each connection that the
+/// call uses.
+class thread_queue {
+public:
+    thread_queue() = default;
+    thread_queue(const thread_queue&) = delete;
+    thread_queue& operator=(const thread_queue&) = delete;
+
+    ~thread_queue() {
+        m_queue.Shutdown();
+        void* tag = nullptr;
+        bool ok = false;
+        while (m_queue.Next(&tag, &ok)) {
+        }
+    }
+
+    grpc::CompletionQueue& get() { return m_queue; }
+
+private:
+    grpc::CompletionQueue m_queue;
+};
+
+grpc::CompletionQueue& queue_of_this_thread() {
+    thread_local thread_queue queue;
+    return queue.get();
+}
+
 } // namespace
 
 struct call_exchange::attempt_stream {
@@ -46,7 +73,7 @@
 };
 
 struct call_exchange::state {
-    grpc::CompletionQueue queue;
+    grpc::CompletionQueue& queue = queue_of_this_thread();
     std::vector<std::unique_ptr<attempt_stream>> attempts;
     std::size_t operations = 0;
 
@@ -110,10 +137,12 @@
     for (const auto& attempt : m_state->attempts) {
         attempt->context.TryCancel();
     }
-    m_state->queue.Shutdown();
-    void* tag = nullptr;
-    bool ok = false;
-    while (m_state->queue.Next(&tag, &ok)) {
+    // The queue outlives the call, so nothing of this call may be left in it.
+    while (m_state->operations > 0) {
+        void* tag = nullptr;
+        bool ok = false;
+        m_state->queue.Next(&tag, &ok);
+        --m_state->operations;
     }
 }
 
