Refuse bad input on every listener of the daemon, and fuzz the codecs

Cause: no test sent hostile bytes to a whole daemon. Reading the fronts for it showed: escaped dot segments (%2e%2e, %2f, backslash) passed the check of the caller listener; the operator and target listeners accepted requests of ambiguous length, and kept the connection; a body that ended early was answered as too large; two silent clients could hold both threads of the target listener for 30 s, past the 1.5 s of its heartbeats; times of peer messages past the range of the clock overflowed; a JSON body of 1 MB could ask for a report of 100,000 faults; announcements that do not fit a datagram were accepted and dropped later without a word.

Change: each case is refused with a clear error and counted (boragehollow_http_rejected_total, boragehollow_http_client_errors_total); silence is bounded by 10 s, 5 s and 0.7 s on the caller, operator and target listeners; times are clamped; JSON faults are bounded by 100. The unread rest of a body (up to 4 MB) is read before a connection is closed, as a reset can overtake the response.

Not covered: a peer that opens call streams and leaves them silent (they hold one of the 512 threads each), and unlimited invented members over gossip.

--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -15,7 +15,13 @@
 /// Keeps a hostile field name from filling an error message.
 constexpr std::size_t max_quoted_length = 64;
 
+/// A body of 1 MB has room for 100,000 faulty fields, whose report would be many times its size.
+constexpr std::size_t max_faults = 100;
+
 void add(json_faults& faults, json_fault_kind kind, const std::string& path, std::string detail) {
+    if (faults.size() >= max_faults) {
+        return;
+    }
     faults.push_back({kind, path, std::move(detail)});
 }
 
--- a/packages/codec/src/spreading_codec.cpp
+++ b/packages/codec/src/spreading_codec.cpp
@@ -3,6 +3,7 @@
 #include "boragehollow/common/overloaded.hpp"
 #include "peer.pb.h"
 
+#include <algorithm>
 #include <memory>
 
 namespace boragehollow::codec {
@@ -32,6 +33,13 @@
     return records;
 }
 
+/// A delay past the range of the clock would end in the past when it is added to the time.
+std::chrono::milliseconds read_delay(std::uint64_t milliseconds) {
+    constexpr std::chrono::milliseconds longest = std::chrono::hours{1};
+    return std::chrono::milliseconds(
+        std::min<std::uint64_t>(milliseconds, static_cast<std::uint64_t>(longest.count())));
+}
+
 } // namespace
 
 void write_push(const std::vector<spreading::log_record>& records, peer::v1::PushRequest& message) {
@@ -90,7 +98,7 @@
         return answer;
     }
     if (message.retry_after_ms() != 0) {
-        answer.body = spreading::retry_later{std::chrono::milliseconds(message.retry_after_ms())};
+        answer.body = spreading::retry_later{read_delay(message.retry_after_ms())};
         return answer;
     }
     if (message.records_size() == 0) {
--- a/packages/daemon/src/caller_front.cpp
+++ b/packages/daemon/src/caller_front.cpp
@@ -1,6 +1,7 @@
 #include "boragehollow/daemon/caller_front.hpp"
 
 #include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/web/query.hpp"
 
 #include <algorithm>
 #include <array>
@@ -31,6 +32,20 @@
            path.ends_with("/..") || path.ends_with("/.");
 }
 
+/// The fault of a path, empty when there is none. A target may decode escapes before it looks at segments,
+/// and may take a backslash for a slash, so the decoded form is checked.
+std::string path_fault(std::string_view path) {
+    std::optional<std::string> decoded = web::percent_decode(path);
+    if (!decoded) {
+        return "the path has an invalid escape";
+    }
+    if (decoded->find('\0') != std::string::npos) {
+        return "the path has a null byte";
+    }
+    std::replace(decoded->begin(), decoded->end(), '\\', '/');
+    return has_dot_segments(*decoded) ? "the path has dot segments" : "";
+}
+
 bool is_safe_method(std::string_view method) {
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
@@ -103,8 +118,8 @@
     if (exchange.has_ambiguous_length()) {
         return refuse("bad_request", "the length of the body is ambiguous");
     }
-    if (has_dot_segments(exchange.path())) {
-        return refuse("bad_request", "the path has dot segments");
+    if (std::string fault = path_fault(exchange.path()); !fault.empty()) {
+        return refuse("bad_request", std::move(fault));
     }
     if (exchange.header_value(key_header).value_or("").size() > longest_key) {
         return refuse("bad_request", "the idempotency key is longer than 256 bytes");
--- a/packages/daemon/src/operator_front.cpp
+++ b/packages/daemon/src/operator_front.cpp
@@ -80,6 +80,14 @@
     return from < oldest.value && snapshot.outcomes().size() >= config::max_outcomes;
 }
 
+void respond_unread(web::server_exchange& exchange, const web::web_error& error) {
+    if (error.kind == web::web_error_kind::too_large) {
+        respond_not_run(exchange, 413, "too_large", error.detail);
+        return;
+    }
+    respond_not_run(exchange, 400, "bad_request", error.detail);
+}
+
 } // namespace
 
 operator_front::operator_front(operator_front_settings settings, operator_services services,
@@ -87,15 +95,17 @@
     : m_settings(settings), m_services(std::move(services)), m_events(events) {}
 
 void operator_front::serve(web::server_exchange& exchange) {
+    if (exchange.has_ambiguous_length()) {
+        respond_not_run(exchange, 400, "bad_request", "the length of the body is ambiguous");
+        return;
+    }
     const std::vector<std::string> segments = web::path_segments(exchange.path());
     const std::string first = segments.empty() ? "" : segments[0];
-    const std::string second = segments.size() > 1 ? segments[1] : "";
+    const std::string second = first == "v1" && segments.size() > 1 ? segments[1] : "";
     if (first == "healthz") {
         serve_health(exchange);
     } else if (first == "metrics") {
         serve_metrics(exchange);
-    } else if (first != "v1") {
-        respond_not_run(exchange, 404, "not_found", "unknown path");
     } else if (second == "changes") {
         serve_changes(exchange, segments);
     } else if (second == "resources") {
@@ -140,7 +150,7 @@
     }
     const auto body = exchange.read_all(m_settings.max_body_bytes);
     if (!body) {
-        respond_not_run(exchange, 413, "too_large", body.error().detail);
+        respond_unread(exchange, body.error());
         return;
     }
     auto document = codec::parse_json(*body);
@@ -206,7 +216,7 @@
 void operator_front::put_resource(web::server_exchange& exchange, const config::resource_key& key) {
     const auto body = exchange.read_all(m_settings.max_body_bytes);
     if (!body) {
-        respond_not_run(exchange, 413, "too_large", body.error().detail);
+        respond_unread(exchange, body.error());
         return;
     }
     auto document = codec::parse_json(*body);
--- a/packages/daemon/src/target_front.cpp
+++ b/packages/daemon/src/target_front.cpp
@@ -1,6 +1,7 @@
 #include "boragehollow/daemon/target_front.hpp"
 
 #include "boragehollow/codec/json_reader.hpp"
+#include "boragehollow/config/validation.hpp"
 
 #include <array>
 #include <utility>
@@ -13,6 +14,10 @@
 
 constexpr std::size_t max_announcement = 16'384;
 constexpr std::uint32_t max_slots = 10'000;
+constexpr std::size_t max_labels = 16;
+
+/// A member with its target has to fit into a datagram, next to the names and addresses of its host.
+constexpr std::size_t max_label_bytes = 400;
 constexpr std::chrono::seconds reply_timeout{1};
 
 std::optional<target_state> parse_state(const std::string& name) {
@@ -31,6 +36,14 @@
     return std::nullopt;
 }
 
+bool labels_fit(const std::map<std::string, std::string>& labels) {
+    std::size_t bytes = 0;
+    for (const auto& [key, value] : labels) {
+        bytes += key.size() + value.size();
+    }
+    return labels.size() <= max_labels && bytes <= max_label_bytes;
+}
+
 tl::expected<announcement, codec::json_faults> parse_announcement(std::string_view body,
                                                                   std::string_view remote_address) {
     auto document = codec::parse_json(body);
@@ -55,6 +68,13 @@
     if (result.target.slots == 0 || result.target.slots > max_slots) {
         reader.fail(codec::json_fault_kind::out_of_range, "slots", "must be from 1 to 10000");
     }
+    if (!result.target.service.empty() && !config::is_valid_name(result.target.service)) {
+        reader.fail(codec::json_fault_kind::bad_value, "service", "is not a name");
+    }
+    if (!labels_fit(result.target.labels)) {
+        reader.fail(codec::json_fault_kind::out_of_range, "labels",
+                    "must be at most 16, with at most 400 bytes together");
+    }
     reader.finish();
     if (!faults.empty()) {
         return tl::unexpected(std::move(faults));
@@ -159,7 +179,15 @@
         exchange.respond(404, json_type, "{\"error\":\"not_found\"}\n");
         return;
     }
+    if (exchange.has_ambiguous_length()) {
+        exchange.respond(400, json_type, "{\"error\":\"ambiguous_length\"}\n");
+        return;
+    }
     const auto body = exchange.read_all(max_announcement);
+    if (!body && body.error().kind != web::web_error_kind::too_large) {
+        exchange.respond(400, json_type, "{\"error\":\"body_incomplete\"}\n");
+        return;
+    }
     if (!body) {
         exchange.respond(413, json_type, "{\"error\":\"body_too_large\"}\n");
         return;
--- a/packages/peer/src/call_codec.cpp
+++ b/packages/peer/src/call_codec.cpp
@@ -27,6 +27,18 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, duration.count()));
 }
 
+/// Times of a message are unsigned and may be far past what a clock can add up.
+template <class Duration>
+Duration bounded(Duration highest, std::uint64_t value) {
+    return Duration(std::min<std::uint64_t>(value, static_cast<std::uint64_t>(highest.count())));
+}
+
+/// Longer than any deadline that a route can have.
+constexpr std::chrono::hours longest_remaining{24};
+
+/// Two centuries after the epoch, which the clock's nanoseconds can still hold.
+constexpr std::chrono::hours latest_deadline{24 * 365 * 200};
+
 void encode_head(const call_head& head, v1::CallHead& message) {
     message.set_call_id(head.call_id);
     message.set_service(head.service);
@@ -63,8 +75,8 @@
         head.idempotency_key = std::move(*message.mutable_idempotency_key());
     }
     head.caller = std::move(*message.mutable_caller());
-    head.remaining = microseconds(message.remaining_us());
-    head.deadline = common::wall_time(microseconds(message.deadline_wall_us()));
+    head.remaining = bounded(microseconds(longest_remaining), message.remaining_us());
+    head.deadline = common::wall_time(bounded(microseconds(latest_deadline), message.deadline_wall_us()));
     head.attempt = message.attempt();
     head.has_body = message.has_body();
     if (message.has_content_length()) {
@@ -141,7 +153,7 @@
                                                                                   : call_outcome::unknown;
         failure.reason = message.failure().reason();
         failure.detail = message.failure().detail();
-        failure.retry_after = milliseconds(message.failure().retry_after_ms());
+        failure.retry_after = bounded(milliseconds(longest_remaining), message.failure().retry_after_ms());
         part.failure = std::move(failure);
     }
     if (message.has_load()) {
--- a/packages/web/include/boragehollow/web/http_server.hpp
+++ b/packages/web/include/boragehollow/web/http_server.hpp
@@ -63,7 +63,12 @@
     /// Closes the connection after this exchange without completing the response, so that the client sees a
     /// broken transfer.
     void abort();
+    /// Reads and drops a bounded part of the body that the handler left. A connection that is closed with
+    /// unread bytes is reset, and the reset can overtake the response.
+    void discard_unread_body();
     bool response_started() const { return m_response_started; }
+    /// Status code of the response; 0 before it was started.
+    int status() const { return m_status; }
 
 private:
     bool send(std::string_view data);
@@ -84,6 +89,8 @@
     bool m_body_complete = false;
     bool m_expects_continue = false;
     bool m_http_1_0 = false;
+    int m_status = 0;
+    bool m_aborted = false;
     bool m_response_started = false;
     bool m_chunked_response = false;
     bool m_omit_body = false;
@@ -96,6 +103,9 @@
     std::chrono::milliseconds read_timeout{30'000};
     std::chrono::milliseconds keep_alive_timeout{10'000};
     std::size_t max_header_bytes = 16'384;
+    /// Called with the status code of each request that is refused before the handler sees it, as its bytes
+    /// are not HTTP or exceed a limit. Runs on a worker thread.
+    std::function<void(int status)> rejected;
 };
 
 /// HTTP server. The handler runs on CivetWeb's worker threads, one for each open connection.
@@ -118,8 +128,10 @@
     http_server() = default;
 
     static int serve(mg_connection* connection, void* server);
+    static int reject(mg_connection* connection, int status, const char* message);
 
     handler m_handler;
+    std::function<void(int status)> m_rejected;
     common::endpoint m_local;
     std::atomic<std::size_t> m_in_flight{0};
     mg_context* m_context = nullptr;
--- a/packages/web/src/http_server.cpp
+++ b/packages/web/src/http_server.cpp
@@ -21,6 +21,9 @@
 /// An unread body up to this size is discarded to keep the connection; past it the connection is closed.
 constexpr std::uint64_t max_discarded_body = 65'536;
 
+/// Unread bytes that are read before a connection is closed, so that the client receives the response.
+constexpr std::uint64_t max_lingering_body = 4'194'304;
+
 constexpr std::chrono::milliseconds stop_wake_interval{20};
 
 std::optional<std::uint64_t> parse_length(std::string_view text) {
@@ -92,6 +95,10 @@
     if (m_chunked_request && lengths > 0) {
         m_ambiguous_length = true;
     }
+    if (m_ambiguous_length) {
+        // The bytes after such a request may be its body or the next request, so nothing more is read.
+        mg_disable_connection_keep_alive(connection);
+    }
     m_body_complete = !has_body();
 }
 
@@ -178,6 +185,7 @@
                                      std::string_view body_prefix) {
     close_if_body_unread();
     m_response_started = true;
+    m_status = status;
     m_omit_body = !body_allowed(status);
     m_chunked_response = !content_length && !m_http_1_0 && !m_omit_body;
     const char* reason = mg_get_response_code_text(m_connection, status);
@@ -229,7 +237,21 @@
     return true;
 }
 
+void server_exchange::discard_unread_body() {
+    if (m_aborted || m_ambiguous_length || m_expects_continue || m_status == 0) {
+        return;
+    }
+    std::vector<char> buffer(m_body_complete ? 0 : body_buffer_bytes);
+    const std::uint64_t limit = m_body_read + max_lingering_body;
+    while (!m_body_complete && m_body_read < limit) {
+        if (!read(buffer)) {
+            return;
+        }
+    }
+}
+
 void server_exchange::abort() {
+    m_aborted = true;
     mg_disable_connection_keep_alive(m_connection);
 }
 
@@ -247,6 +269,7 @@
     ensure_library();
     std::unique_ptr<http_server> server(new http_server);
     server->m_handler = std::move(serve);
+    server->m_rejected = options.rejected;
     const std::string port = listening_port(options.listen);
     const std::string threads = std::to_string(options.worker_threads);
     const std::string queue = std::to_string(std::max(options.worker_threads, 20U));
@@ -278,7 +301,8 @@
     mg_error_data error{};
     error.text = message.data();
     error.text_buffer_size = message.size();
-    const mg_callbacks callbacks{};
+    mg_callbacks callbacks{};
+    callbacks.http_error = &http_server::reject;
     mg_init_data init{};
     init.callbacks = &callbacks;
     init.user_data = server.get();
@@ -318,8 +342,18 @@
     const common::scope_guard leave([&] { --self.m_in_flight; });
     server_exchange exchange(connection);
     self.m_handler(exchange);
+    exchange.discard_unread_body();
     constexpr int handled = 200;
     return handled;
 }
 
+int http_server::reject(mg_connection* connection, int status, const char* /*message*/) {
+    const auto* server = static_cast<const http_server*>(mg_get_user_data(mg_get_context(connection)));
+    if (server != nullptr && server->m_rejected) {
+        server->m_rejected(status);
+    }
+    constexpr int send_standard_answer = 1;
+    return send_standard_answer;
+}
+
 } // namespace boragehollow::web
--- /dev/null
+++ b/programs/boragehollowd/http_sources.cpp
@@ -0,0 +1,40 @@
+#include "http_sources.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragehollow::daemon {
+
+tl::expected<std::unique_ptr<web::http_server>, std::string>
+open_http(pipeline::parts& all, const http_source& source, web::http_server::handler serve) {
+    telemetry::counter& rejected = all.metrics.add_counter(
+        "boragehollow_http_rejected_total",
+        "Requests refused as their bytes are not valid HTTP or exceed a limit", {{"listener", source.name}});
+    web::server_options options;
+    options.listen = source.listen;
+    options.worker_threads = static_cast<unsigned>(source.threads);
+    options.read_timeout = source.longest_silence;
+    options.keep_alive_timeout = std::min(options.keep_alive_timeout, source.longest_silence);
+    options.max_header_bytes = all.settings.limits.header_bytes;
+    options.rejected = [&rejected](int) { rejected.add(); };
+    auto server = web::http_server::start(options, std::move(serve));
+    if (!server) {
+        return tl::unexpected(server.error().detail);
+    }
+    return std::move(*server);
+}
+
+web::http_server::handler counted(pipeline::parts& all, const std::string& listener,
+                                  web::http_server::handler serve) {
+    telemetry::counter& faulty =
+        all.metrics.add_counter("boragehollow_http_client_errors_total",
+                                "Requests answered with a status from 400 to 499", {{"listener", listener}});
+    return [&faulty, serve = std::move(serve)](web::server_exchange& exchange) {
+        serve(exchange);
+        if (exchange.status() >= 400 && exchange.status() < 500) {
+            faulty.add();
+        }
+    };
+}
+
+} // namespace boragehollow::daemon
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -1,5 +1,6 @@
 #include "pipeline.hpp"
 
+#include "http_sources.hpp"
 #include "parts.hpp"
 #include "shutdown.hpp"
 
@@ -350,27 +351,14 @@
     add("timeline", all.timeline);
 }
 
-tl::expected<std::unique_ptr<web::http_server>, std::string> open_http(const common::endpoint& listen,
-                                                                       std::size_t threads,
-                                                                       const settings::limit_settings& limits,
-                                                                       web::http_server::handler serve) {
-    web::server_options options;
-    options.listen = listen;
-    options.worker_threads = static_cast<unsigned>(threads);
-    options.max_header_bytes = limits.header_bytes;
-    auto server = web::http_server::start(options, std::move(serve));
-    if (!server) {
-        return tl::unexpected(server.error().detail);
-    }
-    return std::move(*server);
-}
-
 /// The sources of calls, announcements and operators' requests.
 tl::expected<void, std::string> open_http_sources(pipeline::parts& all) {
     const auto& [callers, operators, peer, gossip, target] = all.settings.listeners;
     const settings::limit_settings& limits = all.settings.limits;
-    auto opened = open_http(target, limits.target_threads, limits,
-                            [&all](web::server_exchange& exchange) { all.announcements->serve(exchange); });
+    auto opened = open_http(all, {"target", target, limits.target_threads, target_silence},
+                            counted(all, "target", [&all](web::server_exchange& exchange) {
+                                all.announcements->serve(exchange);
+                            }));
     if (!opened) {
         return tl::unexpected(opened.error());
     }
@@ -378,13 +366,14 @@
     operator_front_settings front_settings;
     front_settings.max_body_bytes = limits.operator_body_bytes;
     all.operators = std::make_unique<operator_front>(front_settings, services_for_operators(all), all.events);
-    opened = open_http(operators, limits.operator_threads, limits,
-                       [&all](web::server_exchange& exchange) { all.operators->serve(exchange); });
+    opened = open_http(all, {"operators", operators, limits.operator_threads, operator_silence},
+                       counted(all, "operators",
+                               [&all](web::server_exchange& exchange) { all.operators->serve(exchange); }));
     if (!opened) {
         return tl::unexpected(opened.error());
     }
     all.operator_server = std::move(*opened);
-    opened = open_http(callers, limits.caller_threads, limits,
+    opened = open_http(all, {"callers", callers, limits.caller_threads, caller_silence},
                        [&all](web::server_exchange& exchange) { all.callers->serve(exchange); });
     if (!opened) {
         return tl::unexpected(opened.error());
@@ -455,6 +444,13 @@
     return std::unique_ptr<pipeline>(new pipeline(std::move(all)));
 }
 
+settings::listener_settings pipeline::listeners() const {
+    const auto mesh = m_parts->mesh.load();
+    const auto& self = *mesh->hosts.at(mesh->own_host);
+    return {m_parts->caller_server->local(), m_parts->operator_server->local(), self.peer, self.gossip,
+            m_parts->target_server->local()};
+}
+
 void pipeline::drain() {
     drain_parts(*m_parts);
 }
--- a/programs/boragehollowd/pipeline.hpp
+++ b/programs/boragehollowd/pipeline.hpp
@@ -22,6 +22,9 @@
     pipeline& operator=(const pipeline&) = delete;
     ~pipeline();
 
+    /// Addresses in use, with the ports that the system chose.
+    settings::listener_settings listeners() const;
+
     /// Refuses new work and waits until the last call has ended, or until the drain limit if there is one.
     void drain();
 
