Refuse calls that cannot end before their deadline

Cause: early refusal compared the expected wait alone with the deadline, so under overload calls started so late that they ran into their deadline: they took a slot and answered nobody, with the outcome unknown.

Change: the mean service time of the class counts too, both when a call is queued and as the latest start of a queued call. A call that finds a free slot is not affected.

--- a/packages/admission/src/admission_controller.cpp
+++ b/packages/admission/src/admission_controller.cpp
@@ -151,7 +151,10 @@
 
 void admission_controller::enqueue(admission_request request, steady_time now, effects& out) {
     fair_queue& queue = queue_of(request.work);
-    const steady_time expires = std::min(request.deadline, now + m_policy.queue_max_wait);
+    // A call that starts too late to end before its deadline takes a slot and answers nobody.
+    const double mean = request.work == work_class::long_work ? m_long_mean_us : m_short_mean_us;
+    const microseconds service(m_settings.early_refusal ? static_cast<std::int64_t>(mean) : 0);
+    const steady_time expires = std::min(request.deadline - service, now + m_policy.queue_max_wait);
     const microseconds wait = expected_wait(queue, request);
     if (m_settings.early_refusal && now + wait > expires) {
         refuse(request, refusal_reason::expected_wait, round_up(wait), out);
--- a/packages/admission/tests/admission_controller_test.cpp
+++ b/packages/admission/tests/admission_controller_test.cpp
@@ -235,6 +235,25 @@
     EXPECT_EQ(grants.size(), 1U);
 }
 
+// Guards against calls that are admitted so late that they run into their deadline and only take a slot.
+TEST_F(admission_fixture, a_call_that_cannot_end_before_its_deadline_is_refused_as_not_run) {
+    set_target(1);
+    finish(submit(request("a")), call_result::answered, milliseconds(100));
+    submit(request("b"));
+    admission_request hopeless = request("c");
+    hopeless.deadline = now + milliseconds(150);
+    submit(hopeless);
+    EXPECT_EQ(last_refusal(), refusal_reason::expected_wait);
+    admission_request possible = request("d");
+    possible.deadline = now + milliseconds(250);
+    submit(possible);
+    EXPECT_EQ(refusals.size(), 1U);
+    now += milliseconds(151);
+    note(controller.tick(now));
+    EXPECT_EQ(refusals.size(), 2U);
+    EXPECT_FALSE(outcome_unknown(last_refusal()));
+}
+
 class without_early_refusal : public admission_fixture {
 protected:
     static admission_settings settings_without() {
