Take the gossip address from the socket, not from the published mesh

Change: the pipeline keeps the bound address; a silent caller has 30 s instead of 10 s, so that a slow upload is not cut; lint findings.

--- a/packages/daemon/include/boragehollow/daemon/dispatch_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/dispatch_duty.hpp
@@ -45,7 +45,8 @@
 /// Thread that owns the balancer and answers the workers that serve callers.
 class dispatch_duty {
 public:
-    dispatch_duty(balancing::balancer_settings settings, common::random_source random, std::size_t ring_size);
+    dispatch_duty(const balancing::balancer_settings& settings, common::random_source random,
+                  std::size_t ring_size);
     ~dispatch_duty();
 
     /// Ends the thread after the messages that are queued; its sinks are not called afterwards.
--- a/packages/daemon/src/dispatch_duty.cpp
+++ b/packages/daemon/src/dispatch_duty.cpp
@@ -55,9 +55,9 @@
 
 } // namespace
 
-dispatch_duty::dispatch_duty(balancing::balancer_settings settings, common::random_source random,
+dispatch_duty::dispatch_duty(const balancing::balancer_settings& settings, common::random_source random,
                              std::size_t ring_size)
-    : m_balancer(settings, std::move(random)), m_failure_domain(settings.failure_domain), m_ring(ring_size),
+    : m_balancer(settings, random), m_failure_domain(settings.failure_domain), m_ring(ring_size),
       m_thread("dispatch", [this](const std::stop_token&) { run(); }) {}
 
 dispatch_duty::~dispatch_duty() {
--- a/packages/daemon/tests/bad_input_test.cpp
+++ b/packages/daemon/tests/bad_input_test.cpp
@@ -147,7 +147,7 @@
 // Bytes that are no HTTP, and heads over the limit, are refused with a counter and no growth of memory.
 TEST_F(bad_input, http_listeners_refuse_malformed_heads) {
     const std::vector<std::string> heads{
-        "\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03 hello\r\n\r\n",
+        "\x16\x03\x01\x02\x01\x01\x01\x01\xfc\x03\x03 hello\r\n\r\n",
         "GET\r\n\r\n",
         "GET / HTTP/9.9\r\n\r\n",
         "GET /\xff\xfe\x01 HTTP/1.1\r\nHost: t\r\n\r\n",
--- a/packages/daemon/tests/two_hosts.hpp
+++ b/packages/daemon/tests/two_hosts.hpp
@@ -44,7 +44,7 @@
             local_target_changed{admission::local_target{service, slots, admission::target_state::ready}});
         peer::peer_handlers handlers;
         handlers.refused = [](const std::string&, const std::string&) {};
-        handlers.call = [this](peer::call_head head, peer::call_request_part first,
+        handlers.call = [this](const peer::call_head& head, peer::call_request_part first,
                                peer::call_stream& stream) {
             m_runner.run(
                 head, std::move(first), [&] { return stream.read(); },
--- a/packages/peer/include/boragehollow/peer/call_exchange.hpp
+++ b/packages/peer/include/boragehollow/peer/call_exchange.hpp
@@ -44,8 +44,8 @@
 };
 
 /// The attempts of one call as seen by the worker thread that serves its caller: one at first, a second one
-/// when the call is hedged. All events arrive through the queue of the thread that made the exchange, so that the
-/// worker waits in one place; a thread has one exchange at a time.
+/// when the call is hedged. All events arrive through the queue of the thread that made the exchange, so that
+/// the worker waits in one place; a thread has one exchange at a time.
 class call_exchange {
 public:
     call_exchange();
--- a/packages/peer/src/call_exchange.cpp
+++ b/packages/peer/src/call_exchange.cpp
@@ -31,8 +31,8 @@
            status.error_code() == grpc::StatusCode::FAILED_PRECONDITION;
 }
 
-/// Completion queue of one worker thread. Making one for each call costs a system call for each connection that the
-/// call uses.
+/// Completion queue of one worker thread. Making one for each call costs a system call for each connection
+/// that the call uses.
 class thread_queue {
 public:
     thread_queue() = default;
--- a/programs/boragehollowd/http_sources.hpp
+++ b/programs/boragehollowd/http_sources.hpp
@@ -7,7 +7,7 @@
 
 namespace boragehollow::daemon {
 
-constexpr std::chrono::seconds caller_silence{10};
+constexpr std::chrono::seconds caller_silence{30};
 constexpr std::chrono::seconds operator_silence{5};
 constexpr std::chrono::milliseconds target_silence{700};
 
--- a/programs/boragehollowd/parts.hpp
+++ b/programs/boragehollowd/parts.hpp
@@ -41,6 +41,7 @@
 
     // Transport to other daemons.
     peer::peer_identity identity;
+    common::endpoint gossip; ///< As bound, with the port that the kernel chose.
     std::shared_ptr<peer::channel_pool> control_channels;
     std::shared_ptr<peer::channel_pool> call_channels;
     std::unique_ptr<peer::control_client> control;
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -444,7 +444,7 @@
     if (!socket) {
         return tl::unexpected("gossip listener: " + transport::to_string(socket.error()));
     }
-    const common::endpoint gossip = socket->local();
+    all->gossip = socket->local();
     join_calls(*all);
     peer::peer_server_options peer_options;
     peer_options.listen = settings.listeners.peer;
@@ -456,7 +456,7 @@
     all->peer_server = std::move(*peer_server);
     join_configuration(*all);
     join_peer_sender(*all);
-    join_membership(*all, std::move(*socket), own_member(settings, gossip, all->peer_server->local()));
+    join_membership(*all, std::move(*socket), own_member(settings, all->gossip, all->peer_server->local()));
     all->wired.count_down();
     register_rings(*all);
     register_traffic(*all);
@@ -468,15 +468,13 @@
                      {{"callers", common::to_string(all->caller_server->local())},
                       {"operators", common::to_string(all->operator_server->local())},
                       {"peer", common::to_string(all->peer_server->local())},
-                      {"gossip", common::to_string(gossip)}});
+                      {"gossip", common::to_string(all->gossip)}});
     return std::unique_ptr<pipeline>(new pipeline(std::move(all)));
 }
 
 settings::listener_settings pipeline::listeners() const {
-    const auto mesh = m_parts->mesh.load();
-    const auto& self = *mesh->hosts.at(mesh->own_host);
-    return {m_parts->caller_server->local(), m_parts->operator_server->local(), self.peer, self.gossip,
-            m_parts->target_server->local()};
+    return {m_parts->caller_server->local(), m_parts->operator_server->local(), m_parts->peer_server->local(),
+            m_parts->gossip, m_parts->target_server->local()};
 }
 
 void pipeline::drain() {
