--- a/packages/admission/include/boragehollow/admission/adaptive_limit.hpp
+++ b/packages/admission/include/boragehollow/admission/adaptive_limit.hpp
@@ -25,8 +25,8 @@
     double m_lowest = 1;
     double m_highest = 1;
     double m_limit = 1;
-    double m_minimum_us = 0;
-    double m_sum_us = 0;
+    common::fractional_microseconds m_minimum{0};
+    common::fractional_microseconds m_sum{0};
     double m_peak_in_use = 0;
     int m_samples = 0;
     steady_time m_window_start;
--- a/packages/admission/include/boragehollow/admission/admission_controller.hpp
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -123,8 +123,8 @@
     std::deque<std::pair<steady_time, std::uint64_t>> m_short_starts; ///< In order of the start.
     std::uint32_t m_running_short = 0;
     std::uint32_t m_running_long = 0;
-    double m_short_mean_us = 0;
-    double m_long_mean_us = 0;
+    common::fractional_microseconds m_short_mean{0};
+    common::fractional_microseconds m_long_mean{0};
     admission_status m_counters;
 };
 
--- a/packages/admission/src/adaptive_limit.cpp
+++ b/packages/admission/src/adaptive_limit.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr common::fractional_microseconds shortest_latency{1};
 constexpr int window_samples = 20;
 constexpr int least_samples = 5;
 constexpr milliseconds window_time{250};
@@ -31,7 +32,7 @@
         m_window_start = now;
     }
     ++m_samples;
-    m_sum_us += static_cast<double>(latency.count());
+    m_sum += latency;
     m_peak_in_use = std::max(m_peak_in_use, in_use);
     const bool long_enough = now - m_window_start >= window_time && m_samples >= least_samples;
     if (m_samples >= window_samples || long_enough) {
@@ -40,19 +41,19 @@
 }
 
 void adaptive_limit::close_window(steady_time now) {
-    const double mean = std::max(1.0, m_sum_us / m_samples);
-    if (m_minimum_us == 0 || mean < m_minimum_us) {
-        m_minimum_us = mean;
+    const common::fractional_microseconds mean = std::max(shortest_latency, m_sum / m_samples);
+    if (m_minimum.count() == 0 || mean < m_minimum) {
+        m_minimum = mean;
     } else {
-        m_minimum_us += (mean - m_minimum_us) * minimum_drift;
+        m_minimum += (mean - m_minimum) * minimum_drift;
     }
-    const double gradient = std::clamp(tolerance * m_minimum_us / mean, smallest_gradient, 1.0);
+    const double gradient = std::clamp(tolerance * (m_minimum / mean), smallest_gradient, 1.0);
     // The added 1 lets the limit recover; a limit that is not used must not grow, since nothing tests it.
     const double headroom = m_peak_in_use * 2 >= m_limit ? 1.0 : 0.0;
     const double wanted = m_limit * gradient + headroom;
     m_limit = std::clamp((m_limit + wanted) / 2, m_lowest, m_highest);
     m_samples = 0;
-    m_sum_us = 0;
+    m_sum = {};
     m_peak_in_use = 0;
     m_window_start = now;
 }
--- a/packages/admission/src/admission_controller.cpp
+++ b/packages/admission/src/admission_controller.cpp
@@ -15,9 +15,9 @@
 // Entries leave a full table one by one, so that a later try can find room.
 constexpr milliseconds table_full_advice{1'000};
 
-void add_to_mean(double& mean, microseconds sample) {
-    const auto value = static_cast<double>(sample.count());
-    mean = mean == 0 ? value : mean + (value - mean) * mean_weight;
+void add_to_mean(common::fractional_microseconds& mean, microseconds sample) {
+    const common::fractional_microseconds value(sample);
+    mean = mean.count() == 0 ? value : mean + (value - mean) * mean_weight;
 }
 
 milliseconds round_up(microseconds value) {
@@ -144,16 +144,18 @@
     const std::uint32_t usable = capacity();
     const std::uint32_t left_to_short = std::max(usable - std::min(usable, m_running_long), reserved());
     const std::uint32_t slots = std::max(1U, is_long ? long_bound() : left_to_short);
-    const double mean = is_long ? m_long_mean_us : m_short_mean_us;
+    const common::fractional_microseconds mean = is_long ? m_long_mean : m_short_mean;
     const auto turns = static_cast<double>(queue.ahead_of(request.caller) + 1);
-    return microseconds(static_cast<std::int64_t>(turns * mean / slots));
+    return std::chrono::duration_cast<microseconds>(mean * (turns / slots));
 }
 
 void admission_controller::enqueue(admission_request request, steady_time now, effects& out) {
     fair_queue& queue = queue_of(request.work);
     // A call that starts too late to end before its deadline takes a slot and answers nobody.
-    const double mean = request.work == work_class::long_work ? m_long_mean_us : m_short_mean_us;
-    const microseconds service(m_settings.early_refusal ? static_cast<std::int64_t>(mean) : 0);
+    const common::fractional_microseconds mean =
+        request.work == work_class::long_work ? m_long_mean : m_short_mean;
+    const microseconds service =
+        m_settings.early_refusal ? std::chrono::duration_cast<microseconds>(mean) : microseconds(0);
     const steady_time expires = std::min(request.deadline - service, now + m_policy.queue_max_wait);
     const microseconds wait = expected_wait(queue, request);
     if (m_settings.early_refusal && now + wait > expires) {
@@ -257,7 +259,7 @@
     if (result != call_result::answered) {
         return;
     }
-    add_to_mean(call.counts_long ? m_long_mean_us : m_short_mean_us, latency);
+    add_to_mean(call.counts_long ? m_long_mean : m_short_mean, latency);
     if (!call.counts_long) {
         m_limit.observe(latency, in_use, now);
     }
@@ -283,8 +285,8 @@
     m_target = std::move(target);
     if (other_service) {
         m_limit = adaptive_limit();
-        m_short_mean_us = 0;
-        m_long_mean_us = 0;
+        m_short_mean = {};
+        m_long_mean = {};
     }
     set_limit_bounds();
     refuse_unrunnable(out);
--- a/packages/balancing/include/boragehollow/balancing/latency_estimate.hpp
+++ b/packages/balancing/include/boragehollow/balancing/latency_estimate.hpp
@@ -7,6 +7,8 @@
 
 namespace boragehollow::balancing {
 
+using common::fractional_microseconds;
+
 /// Latency of one target: rises at once to a slower sample and falls slowly afterwards.
 class peak_estimate {
 public:
@@ -17,12 +19,12 @@
     void raise(microseconds sample, milliseconds decay, steady_time now);
 
     /// Without new samples the estimate returns to `typical`, so that a target which was slow is tried again.
-    double value_us(double typical_us, milliseconds decay, steady_time now) const;
+    fractional_microseconds value(fractional_microseconds typical, milliseconds decay, steady_time now) const;
 
-    bool empty() const { return m_value_us == 0; }
+    bool empty() const { return m_value == fractional_microseconds::zero(); }
 
 private:
-    double m_value_us = 0;
+    fractional_microseconds m_value{0};
     steady_time m_updated;
 };
 
@@ -30,12 +32,12 @@
 class smoothed_latency {
 public:
     void add(microseconds sample);
-    double value_us() const { return m_value_us; }
+    fractional_microseconds value() const { return m_value; }
     int samples() const { return m_samples; }
     void reset();
 
 private:
-    double m_value_us = 0;
+    fractional_microseconds m_value{0};
     int m_samples = 0;
 };
 
--- a/packages/balancing/include/boragehollow/balancing/service_balancer.hpp
+++ b/packages/balancing/include/boragehollow/balancing/service_balancer.hpp
@@ -61,7 +61,7 @@
     void learn_answer(target_record& target, config::work_class work, bool trial, microseconds latency,
                       steady_time now);
     void count_ejection(bool ejected);
-    double median_us(steady_time now);
+    fractional_microseconds median_latency(steady_time now);
     milliseconds decay() const;
 
     std::string m_failure_domain;
@@ -73,7 +73,7 @@
     token_budget m_retries;
     token_budget m_hedges;
     latency_quantiles m_quantiles;
-    double m_median_us = 0;
+    fractional_microseconds m_median{0};
     std::optional<steady_time> m_median_time;
     std::size_t m_round = 0;
     std::uint32_t m_usable = 0;
--- a/packages/balancing/src/latency_estimate.cpp
+++ b/packages/balancing/src/latency_estimate.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr double smoothing = 0.3;
-constexpr double first_edge_us = 20.0;
+constexpr fractional_microseconds shortest_latency{1};
+constexpr fractional_microseconds first_edge{20};
 constexpr double bucket_growth = 1.2; // 96 buckets reach from 20 us to about 13 minutes.
 constexpr double least_samples = 30;
 // Counts are halved at this total, so that the quantile follows the last few thousand calls.
@@ -22,38 +23,39 @@
 } // namespace
 
 void peak_estimate::add(microseconds sample, milliseconds decay, steady_time now) {
-    const double value = std::max(1.0, static_cast<double>(sample.count()));
-    if (value > m_value_us) {
-        m_value_us = value;
+    const fractional_microseconds value = std::max(shortest_latency, fractional_microseconds(sample));
+    if (value > m_value) {
+        m_value = value;
     } else {
         const double weight = idle_weight(m_updated, now, decay);
-        m_value_us = m_value_us * weight + value * (1.0 - weight);
+        m_value = m_value * weight + value * (1.0 - weight);
     }
     m_updated = now;
 }
 
 void peak_estimate::raise(microseconds sample, milliseconds decay, steady_time now) {
-    const auto value = static_cast<double>(sample.count());
+    const fractional_microseconds value(sample);
     // Compared with the faded estimate, else equal failures of several targets would keep their first order.
-    if (value > m_value_us * idle_weight(m_updated, now, decay)) {
-        m_value_us = value;
+    if (value > m_value * idle_weight(m_updated, now, decay)) {
+        m_value = value;
         m_updated = now;
     }
 }
 
-double peak_estimate::value_us(double typical_us, milliseconds decay, steady_time now) const {
+fractional_microseconds peak_estimate::value(fractional_microseconds typical, milliseconds decay,
+                                             steady_time now) const {
     if (empty()) {
-        return typical_us;
+        return typical;
     }
-    if (m_value_us <= typical_us) {
-        return m_value_us;
+    if (m_value <= typical) {
+        return m_value;
     }
-    return typical_us + (m_value_us - typical_us) * idle_weight(m_updated, now, decay);
+    return typical + (m_value - typical) * idle_weight(m_updated, now, decay);
 }
 
 void smoothed_latency::add(microseconds sample) {
-    const auto value = static_cast<double>(sample.count());
-    m_value_us = m_samples == 0 ? value : m_value_us + (value - m_value_us) * smoothing;
+    const fractional_microseconds value(sample);
+    m_value = m_samples == 0 ? value : m_value + (value - m_value) * smoothing;
     ++m_samples;
 }
 
@@ -62,7 +64,7 @@
 }
 
 void latency_quantiles::add(microseconds sample) {
-    const double ratio = std::max(1.0, static_cast<double>(sample.count()) / first_edge_us);
+    const double ratio = std::max(1.0, fractional_microseconds(sample) / first_edge);
     const auto bucket = static_cast<std::size_t>(std::log(ratio) / std::log(bucket_growth));
     m_counts.at(std::min(bucket, bucket_count - 1)) += 1;
     m_total += 1;
@@ -85,7 +87,7 @@
     }
     const double wanted = m_total * fraction;
     double seen = 0;
-    double edge = first_edge_us;
+    fractional_microseconds edge = first_edge;
     for (const double count : m_counts) {
         seen += count;
         edge *= bucket_growth;
@@ -93,7 +95,7 @@
             break;
         }
     }
-    return microseconds(static_cast<std::int64_t>(edge));
+    return std::chrono::duration_cast<microseconds>(edge);
 }
 
 } // namespace boragehollow::balancing
--- a/packages/balancing/src/service_balancer.cpp
+++ b/packages/balancing/src/service_balancer.cpp
@@ -14,7 +14,8 @@
 constexpr milliseconds median_age{100};
 // A latency ejection needs a few samples and a difference that a caller would notice.
 constexpr int ejection_samples = 5;
-constexpr double least_excess_us = 2'000;
+constexpr milliseconds least_excess{2};
+constexpr fractional_microseconds shortest_latency{1};
 constexpr std::size_t least_median_targets = 3;
 constexpr double hedge_quantile = 0.95;
 
@@ -313,10 +314,10 @@
         });
     };
     const auto less_latency = [&](const config::peak_ewma& policy) {
-        const double typical = std::max(1.0, m_median_us);
+        const fractional_microseconds typical = std::max(shortest_latency, m_median);
         return better_of_two(pool, random, [&policy, typical, now](const target_record& target) {
-            const double latency = target.peak.value_us(typical, policy.decay, now);
-            return latency * (target.outstanding + 1.0) * target.reluctance(now);
+            const fractional_microseconds latency = target.peak.value(typical, policy.decay, now);
+            return latency.count() * (target.outstanding + 1.0) * target.reluctance(now);
         });
     };
     return std::visit(common::overloaded{random_target, next_in_turn, less_loaded, less_latency},
@@ -338,24 +339,24 @@
     return ejected + 1.0 <= m_policy.ejection.max_fraction * usable;
 }
 
-double service_balancer::median_us(steady_time now) {
+fractional_microseconds service_balancer::median_latency(steady_time now) {
     if (m_median_time && now - *m_median_time < median_age) {
-        return m_median_us;
+        return m_median;
     }
     m_median_time = now;
-    std::vector<double> values;
+    std::vector<fractional_microseconds> values;
     for (const target_record& target : m_targets) {
         if (target.smoothed.samples() > 0) {
-            values.push_back(target.smoothed.value_us());
+            values.push_back(target.smoothed.value());
         }
     }
     if (values.empty()) {
-        return m_median_us;
+        return m_median;
     }
     const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
     std::nth_element(values.begin(), middle, values.end());
-    m_median_us = *middle;
-    return m_median_us;
+    m_median = *middle;
+    return m_median;
 }
 
 void service_balancer::finished(const std::string& host, work_class work, bool trial,
@@ -400,12 +401,13 @@
         target.peak.add(latency, decay(), now);
         target.smoothed.add(latency);
         m_quantiles.add(latency);
-        const double median = median_us(now);
+        const fractional_microseconds median = median_latency(now);
         const double factor = m_policy.ejection.latency_factor;
-        const auto own = trial ? static_cast<double>(latency.count()) : target.smoothed.value_us();
+        const fractional_microseconds own =
+            trial ? fractional_microseconds(latency) : target.smoothed.value();
         const bool enough = trial || target.smoothed.samples() >= ejection_samples;
-        too_slow = factor > 0 && enough && m_targets.size() >= least_median_targets && median > 0 &&
-                   own > factor * median && own - median > least_excess_us;
+        too_slow = factor > 0 && enough && m_targets.size() >= least_median_targets && median.count() > 0 &&
+                   own > factor * median && own - median > least_excess;
     }
     const bool was_ejected = target.health.ejected();
     const bool allowed = too_slow && may_eject();
@@ -423,9 +425,9 @@
     std::vector<target_status> all;
     all.reserve(m_targets.size());
     for (const target_record& target : m_targets) {
-        const double latency = target.peak.value_us(m_median_us, decay(), now);
-        all.push_back({target.view.host, target.outstanding, microseconds(static_cast<std::int64_t>(latency)),
-                       target.health.ejected()});
+        const fractional_microseconds latency = target.peak.value(m_median, decay(), now);
+        all.push_back({target.view.host, target.outstanding,
+                       std::chrono::duration_cast<microseconds>(latency), target.health.ejected()});
     }
     return all;
 }
--- a/packages/balancing/tests/latency_estimate_test.cpp
+++ b/packages/balancing/tests/latency_estimate_test.cpp
@@ -11,11 +11,11 @@
     steady_time now;
     estimate.add(milliseconds(5), decay, now);
     estimate.add(milliseconds(50), decay, now);
-    EXPECT_DOUBLE_EQ(estimate.value_us(5'000, decay, now), 50'000);
+    EXPECT_DOUBLE_EQ(estimate.value(milliseconds(5), decay, now).count(), 50'000);
     now += milliseconds(1'000);
     estimate.add(milliseconds(5), decay, now);
-    EXPECT_GT(estimate.value_us(5'000, decay, now), 35'000);
-    EXPECT_LT(estimate.value_us(5'000, decay, now + milliseconds(20'000)), 6'000);
+    EXPECT_GT(estimate.value(milliseconds(5), decay, now), microseconds(35'000));
+    EXPECT_LT(estimate.value(milliseconds(5), decay, now + milliseconds(20'000)), microseconds(6'000));
 }
 
 // Guards against a target that fails fast and so looks better than the others.
@@ -23,7 +23,8 @@
     peak_estimate estimate;
     estimate.add(milliseconds(5), milliseconds(5'000), steady_time());
     estimate.raise(microseconds(100), milliseconds(5'000), steady_time(milliseconds(1)));
-    EXPECT_GT(estimate.value_us(1, milliseconds(5'000), steady_time(milliseconds(1))), 4'900);
+    EXPECT_GT(estimate.value(microseconds(1), milliseconds(5'000), steady_time(milliseconds(1))),
+              microseconds(4'900));
 }
 
 TEST(latency_quantiles, follows_a_change_of_latency) {
