--- /dev/null
+++ b/packages/admission/include/boragehollow/admission/instance_ledger.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "boragehollow/admission/messages.hpp"
+#include "boragehollow/common/endpoint.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace boragehollow::admission {
+
+/// One announcement of a target, which may be late or come from an earlier incarnation.
+struct instance_announcement {
+    std::string id;
+    common::endpoint address;
+    std::string service;
+    std::uint32_t slots = 1;
+    target_state state = target_state::ready;
+    /// Start of the incarnation by the target's own count; rises from one incarnation to the next. 0: not
+    /// said.
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0; ///< Rises with each announcement of an incarnation.
+};
+
+/// The incarnation that the target on this host is now.
+struct current_instance {
+    std::string id;
+    common::endpoint address;
+    std::string service;
+    std::uint32_t slots = 1;
+    target_state state = target_state::ready;
+
+    bool operator==(const current_instance&) const = default;
+};
+
+/// What is known of the target did change, or was confirmed.
+struct announcement_taken {
+    bool changed = false;
+};
+
+/// The announcement was overtaken by a later one, or belongs to an incarnation that has ended.
+struct announcement_outdated {};
+
+/// The announcement names another service or address than this host's target has.
+struct announcement_foreign {
+    std::string reason;
+};
+
+using ledger_verdict = std::variant<announcement_taken, announcement_outdated, announcement_foreign>;
+
+struct ledger_settings {
+    std::string service;                     ///< Empty accepts every service.
+    std::optional<common::endpoint> address; ///< Empty accepts every address.
+    milliseconds silence{6'000};             ///< A target that is silent for longer counts as gone.
+};
+
+/// Decides which announcements of the local target count. An announcement that was held up on its way must
+/// not bring back an incarnation that has ended or a state that was left.
+class instance_ledger {
+public:
+    explicit instance_ledger(ledger_settings settings) : m_settings(std::move(settings)) {}
+
+    ledger_verdict announce(const instance_announcement& announcement, steady_time now);
+
+    /// The incarnation said that it ends; true when it was the current one.
+    bool leave(const std::string& id, steady_time now);
+
+    /// The target refused a connection or showed another identity; true when that changes what is known. The
+    /// next announcement brings it back.
+    bool unreachable();
+
+    /// True when the current incarnation has been silent for too long and counts as gone from now on.
+    bool check_silence(steady_time now);
+
+    std::optional<current_instance> current() const;
+
+private:
+    struct record {
+        instance_announcement last;
+        steady_time heard;
+        bool reachable = true;
+    };
+
+    bool is_outdated(const instance_announcement& announcement) const;
+
+    ledger_settings m_settings;
+    std::optional<record> m_current;
+    std::map<std::string, std::uint64_t> m_ended; ///< Incarnation of each id that has ended.
+};
+
+} // namespace boragehollow::admission
--- a/packages/balancing/include/boragehollow/balancing/attempt.hpp
+++ b/packages/balancing/include/boragehollow/balancing/attempt.hpp
@@ -15,7 +15,9 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-enum class attempt_kind { first, retry, hedge };
+/// A redirect follows a refusal by the target's daemon: no target has received the call yet, so that it takes
+/// nothing from the retry budget and waits for no backoff.
+enum class attempt_kind { first, retry, hedge, redirect };
 
 /// Number of one attempt, unique within a balancer.
 struct attempt_id {
--- a/packages/balancing/src/service_balancer.cpp
+++ b/packages/balancing/src/service_balancer.cpp
@@ -113,7 +113,7 @@
 
 tl::expected<microseconds, choice_refusal_reason>
 service_balancer::permit(const attempt_request& request, common::random_source& random, steady_time now) {
-    if (request.kind == attempt_kind::first) {
+    if (request.kind == attempt_kind::first || request.kind == attempt_kind::redirect) {
         return microseconds(0);
     }
     if (!request.idempotent && !(request.kind == attempt_kind::retry && request.earlier_not_run)) {
--- a/packages/codec/include/boragehollow/codec/resource_json.hpp
+++ b/packages/codec/include/boragehollow/codec/resource_json.hpp
@@ -17,6 +17,8 @@
 void read_value(const json& value, const std::string& path, config::revision& target, json_faults& faults);
 void read_value(const json& value, const std::string& path, config::balancing_policy& target,
                 json_faults& faults);
+void read_value(const json& value, const std::string& path, std::vector<config::weighted_backend>& target,
+                json_faults& faults);
 void read_value(const json& value, const std::string& path, config::retry_policy& target,
                 json_faults& faults);
 void read_value(const json& value, const std::string& path, config::hedging_policy& target,
--- a/packages/codec/src/resource_json.cpp
+++ b/packages/codec/src/resource_json.cpp
@@ -31,6 +31,14 @@
                       value);
 }
 
+json backends_to_json(const std::vector<config::weighted_backend>& backends) {
+    json list = json::array();
+    for (const config::weighted_backend& backend : backends) {
+        list.push_back({{"service", backend.service}, {"weight", backend.weight}});
+    }
+    return list;
+}
+
 json route_to_json(const config::route& value) {
     return {{"kind", "route"},
             {"name", value.name},
@@ -40,7 +48,12 @@
             {"service", value.service},
             {"deadline", format_duration(value.deadline)},
             {"idempotent", value.idempotent},
-            {"work", to_string(value.work)}};
+            {"work", to_string(value.work)},
+            {"backends", backends_to_json(value.backends)},
+            {"attempts", value.attempts},
+            {"target_latency", format_duration(value.target_latency)},
+            {"priority", value.priority},
+            {"only_below_prefix", value.only_below_prefix}};
 }
 
 json policy_to_json(const config::service_policy& value) {
@@ -88,6 +101,11 @@
     reader.optional("deadline", target.deadline);
     reader.optional("idempotent", target.idempotent);
     reader.optional_name("work", target.work, config::parse_work_class);
+    reader.optional("backends", target.backends);
+    reader.optional("attempts", target.attempts);
+    reader.optional("target_latency", target.target_latency);
+    reader.optional("priority", target.priority);
+    reader.optional("only_below_prefix", target.only_below_prefix);
 }
 
 void read_fields(object_reader& reader, config::target_rule& target) {
@@ -164,6 +182,21 @@
     reader.finish();
 }
 
+void read_value(const json& value, const std::string& path, std::vector<config::weighted_backend>& target,
+                json_faults& faults) {
+    if (!expect_array(value, path, faults)) {
+        return;
+    }
+    target.clear();
+    for (std::size_t i = 0; i < value.size(); ++i) {
+        config::weighted_backend& backend = target.emplace_back();
+        object_reader reader(value[i], path + "[" + std::to_string(i) + "]", faults);
+        reader.required("service", backend.service);
+        reader.optional("weight", backend.weight);
+        reader.finish();
+    }
+}
+
 void read_value(const json& value, const std::string& path, config::retry_policy& target,
                 json_faults& faults) {
     object_reader reader(value, path, faults);
--- a/packages/codec/src/resource_message.cpp
+++ b/packages/codec/src/resource_message.cpp
@@ -36,6 +36,15 @@
     message.set_idempotent(value.idempotent);
     message.set_work(value.work == config::work_class::long_work ? messages::WORK_CLASS_LONG
                                                                  : messages::WORK_CLASS_SHORT);
+    for (const config::weighted_backend& backend : value.backends) {
+        messages::WeightedBackend& part = *message.add_backends();
+        part.set_service(backend.service);
+        part.set_weight(backend.weight);
+    }
+    message.set_attempts(value.attempts);
+    message.set_target_latency_ms(to_number(value.target_latency));
+    message.set_priority(value.priority);
+    message.set_only_below_prefix(value.only_below_prefix);
     return message;
 }
 
@@ -103,6 +112,10 @@
     if (!messages::WorkClass_IsValid(message.work())) {
         return tl::unexpected(malformed{"route.work has an unknown value"});
     }
+    std::vector<config::weighted_backend> backends;
+    for (const messages::WeightedBackend& part : message.backends()) {
+        backends.push_back({part.service(), part.weight()});
+    }
     return config::route{
         .name = message.name(),
         .host = message.host(),
@@ -113,6 +126,11 @@
         .idempotent = message.idempotent(),
         .work = message.work() == messages::WORK_CLASS_LONG ? config::work_class::long_work
                                                             : config::work_class::short_work,
+        .backends = std::move(backends),
+        .attempts = message.attempts(),
+        .target_latency = to_milliseconds(message.target_latency_ms()),
+        .priority = message.priority(),
+        .only_below_prefix = message.only_below_prefix(),
     };
 }
 
--- a/packages/config/include/boragehollow/config/config_snapshot.hpp
+++ b/packages/config/include/boragehollow/config/config_snapshot.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace boragehollow::config {
 
@@ -61,7 +62,7 @@
     outcome_index m_outcome_index;
 };
 
-/// Name of the service that a route or target rule refers to, or null.
-const std::string* referenced_service(const resource& value);
+/// Names of the services that a route or target rule refers to; a split route refers to several.
+std::vector<std::string> referenced_services(const resource& value);
 
 } // namespace boragehollow::config
--- a/packages/config/include/boragehollow/config/resource.hpp
+++ b/packages/config/include/boragehollow/config/resource.hpp
@@ -16,6 +16,14 @@
 /// Class of work of a route's calls. Long calls have their own share of a target's slots.
 enum class work_class { short_work, long_work };
 
+/// A service that receives a share of a route's calls.
+struct weighted_backend {
+    std::string service{};
+    std::uint32_t weight = 1;
+
+    bool operator==(const weighted_backend&) const = default;
+};
+
 /// Sends calls that match host, path prefix and method to a service.
 struct route {
     std::string name{};
@@ -26,6 +34,12 @@
     milliseconds deadline{10'000};
     bool idempotent = false;
     work_class work = work_class::short_work;
+    /// Splits the calls by weight; empty sends all of them to `service`.
+    std::vector<weighted_backend> backends{};
+    std::uint32_t attempts = 0;     ///< Targets that one call may be sent to; 0 leaves it to the policy.
+    milliseconds target_latency{0}; ///< Answers within it are worth most; 0 states none.
+    std::uint32_t priority = 0;     ///< Rank among the calls of a target; 0 is the most urgent.
+    bool only_below_prefix = false; ///< The prefix itself, without a further slash, does not match.
 
     bool operator==(const route&) const = default;
 };
--- a/packages/config/src/config_snapshot.cpp
+++ b/packages/config/src/config_snapshot.cpp
@@ -42,11 +42,18 @@
     }
 }
 
-const std::string* referenced_service(const resource& value) {
+std::vector<std::string> referenced_services(const resource& value) {
+    using names = std::vector<std::string>;
     return std::visit(common::overloaded{
-                          [](const route& item) { return &item.service; },
-                          [](const service_policy&) -> const std::string* { return nullptr; },
-                          [](const target_rule& item) { return &item.service; },
+                          [](const route& item) {
+                              names result{item.service};
+                              for (const weighted_backend& backend : item.backends) {
+                                  result.push_back(backend.service);
+                              }
+                              return result;
+                          },
+                          [](const service_policy&) { return names{}; },
+                          [](const target_rule& item) { return names{item.service}; },
                       },
                       value);
 }
--- a/packages/config/src/config_state.cpp
+++ b/packages/config/src/config_state.cpp
@@ -82,12 +82,16 @@
 std::optional<rejected> find_dangling_put(const change& record, const config_snapshot& next) {
     for (std::size_t i = 0; i < record.operations.size(); ++i) {
         const auto* put = std::get_if<put_operation>(&record.operations[i]);
-        const std::string* service = put == nullptr ? nullptr : referenced_service(put->value);
-        if (service == nullptr || next.has_service(*service)) {
+        if (put == nullptr) {
             continue;
         }
-        return rejected{rejection_reason::dangling_reference, "there is no service policy " + *service,
-                        path_of(i, "put.service"), key_of(put->value)};
+        for (const std::string& service : referenced_services(put->value)) {
+            if (next.has_service(service)) {
+                continue;
+            }
+            return rejected{rejection_reason::dangling_reference, "there is no service policy " + service,
+                            path_of(i, "put.service"), key_of(put->value)};
+        }
     }
     return std::nullopt;
 }
@@ -105,13 +109,14 @@
         return std::nullopt;
     }
     for (const auto& [key, stored] : next.resources) {
-        const std::string* service = referenced_service(stored.value);
-        if (service == nullptr || !deleted.contains(*service)) {
-            continue;
+        for (const std::string& service : referenced_services(stored.value)) {
+            if (!deleted.contains(service)) {
+                continue;
+            }
+            return rejected{rejection_reason::dangling_reference,
+                            "the deleted service policy " + service + " is still referred to", "operations",
+                            key};
         }
-        return rejected{rejection_reason::dangling_reference,
-                        "the deleted service policy " + *service + " is still referred to", "operations",
-                        key};
     }
     return std::nullopt;
 }
--- /dev/null
+++ b/packages/config/src/numbered_state.cpp
@@ -0,0 +1,37 @@
+#include "boragehollow/config/numbered_state.hpp"
+
+#include <utility>
+
+namespace boragehollow::config {
+
+namespace {
+
+std::string describe(const resource& value, const field_fault& fault) {
+    return key_of(value).name + "." + fault.field + " " + fault.detail;
+}
+
+} // namespace
+
+tl::expected<state_in_force, std::string> put_in_force(const numbered_state& state) {
+    auto snapshot = std::make_shared<config_snapshot>();
+    snapshot->version = state.version;
+    std::vector<resource> resources(state.services.begin(), state.services.end());
+    resources.insert(resources.end(), state.routes.begin(), state.routes.end());
+    for (const resource& value : resources) {
+        const std::vector<field_fault> faults = validate(value);
+        if (!faults.empty()) {
+            return tl::unexpected(describe(value, faults.front()));
+        }
+        snapshot->resources = snapshot->resources.insert(key_of(value), {value, state.version});
+    }
+    for (const resource& value : resources) {
+        for (const std::string& service : referenced_services(value)) {
+            if (!snapshot->has_service(service)) {
+                return tl::unexpected(key_of(value).name + " refers to the missing service " + service);
+            }
+        }
+    }
+    return state_in_force{std::move(snapshot), state.limits};
+}
+
+} // namespace boragehollow::config
--- a/packages/config/src/validation.cpp
+++ b/packages/config/src/validation.cpp
@@ -114,6 +114,23 @@
     }
 }
 
+void check_backends(const std::vector<weighted_backend>& backends, fault_list& faults) {
+    if (backends.size() > max_backends) {
+        faults.add("backends", "must have at most " + std::to_string(max_backends) + " entries");
+        return;
+    }
+    std::uint64_t total = 0;
+    for (std::size_t i = 0; i < backends.size(); ++i) {
+        const std::string field = "backends[" + std::to_string(i) + "]";
+        faults.check_name(field + ".service", backends[i].service);
+        faults.check_range(field + ".weight", backends[i].weight, 0U, max_weight);
+        total += backends[i].weight;
+    }
+    if (!backends.empty() && total == 0) {
+        faults.add("backends", "must have a weight above 0");
+    }
+}
+
 void check(const route& value, fault_list& faults) {
     faults.check_name("name", value.name);
     if (!is_valid_host(value.host)) {
@@ -127,6 +144,10 @@
     check_methods(value.methods, faults);
     faults.check_name("service", value.service);
     faults.check_range("deadline", value.deadline, milliseconds{1}, max_deadline);
+    check_backends(value.backends, faults);
+    faults.check_range("attempts", value.attempts, 0U, max_attempts);
+    faults.check_range("target_latency", value.target_latency, milliseconds{0}, max_deadline);
+    faults.check_range("priority", value.priority, 0U, max_priority);
 }
 
 void check(const retry_policy& value, fault_list& faults) {
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "boragehollow/admission/instance_ledger.hpp"
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/reply_slot.hpp"
+#include "boragehollow/telemetry/event_log.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace boragehollow::daemon {
+
+/// A target announced itself; the reply tells whether the announcement counts.
+struct instance_announced {
+    admission::instance_announcement announcement;
+    common::reply_slot<admission::ledger_verdict> reply;
+};
+
+/// A target says that it ends.
+struct instance_left {
+    std::string id;
+    common::reply_slot<bool> reply;
+};
+
+/// The target refused a connection or showed another identity.
+struct instance_unreachable {};
+
+using instance_message = std::variant<instance_announced, instance_left, instance_unreachable>;
+
+/// Thread that knows which incarnation the target on this host is. Whoever announces a drain or an end is
+/// answered only after the change was handed on.
+class instance_duty {
+public:
+    instance_duty(admission::ledger_settings settings,
+                  std::function<void(std::optional<admission::current_instance>)> changed,
+                  std::size_t ring_size, const telemetry::event_log& events);
+    ~instance_duty();
+
+    void stop();
+
+    common::bounded_ring<instance_message>& ring() { return m_ring; }
+
+private:
+    void run();
+    void handle(instance_announced& message, common::steady_time now);
+    void handle(const instance_left& message, common::steady_time now);
+    void handle(const instance_unreachable& message, common::steady_time now);
+    void hand_on();
+
+    admission::instance_ledger m_ledger;
+    std::function<void(std::optional<admission::current_instance>)> m_changed;
+    const telemetry::event_log& m_events;
+    common::bounded_ring<instance_message> m_ring;
+    common::duty m_thread;
+};
+
+} // namespace boragehollow::daemon
--- a/packages/daemon/include/boragehollow/daemon/log_reader_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/log_reader_duty.hpp
@@ -4,8 +4,8 @@
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/random_source.hpp"
 #include "boragehollow/daemon/spreading_messages.hpp"
-#include "boragehollow/platform/log_client.hpp"
 #include "boragehollow/settings/daemon_settings.hpp"
+#include "boragehollow/streams/log_client.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
 #include <chrono>
@@ -25,7 +25,7 @@
 /// poll holds the thread; its messages wait until the poll ends.
 class log_reader_duty {
 public:
-    log_reader_duty(platform::log_client client, settings::platform_settings settings,
+    log_reader_duty(streams::log_client client, settings::platform_settings settings,
                     common::random_source random, std::size_t ring_size, log_reader_sink sink,
                     const telemetry::event_log& events);
     ~log_reader_duty();
@@ -41,10 +41,10 @@
     void handle(const read_snapshot& message);
     void handle(const store_snapshot& message);
     void read_once();
-    void take(platform::log_page page);
-    void read_failed(const platform::log_error& error);
+    void take(streams::log_page page);
+    void read_failed(const streams::log_error& error);
 
-    platform::log_client m_client;
+    streams::log_client m_client;
     settings::platform_settings m_settings;
     common::random_source m_random;
     log_reader_sink m_sink;
--- a/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
@@ -48,10 +48,23 @@
     common::reply_slot<membership::progress_counts> reply;
 };
 
+/// A reconciliation whose sender does not wait; `answer` is called on the membership thread and must not
+/// wait.
+struct sync_asked {
+    membership::sync_request request;
+    std::function<void(const membership::sync_reply&)> answer;
+};
+
+/// Gossip endpoints of other daemons, found after the start.
+struct seeds_found {
+    std::vector<common::endpoint> seeds;
+};
+
 struct leave_mesh {};
 
-using membership_message = std::variant<datagram_received, local_announcement_changed, local_version_changed,
-                                        sync_requested, sync_replied, progress_requested, leave_mesh>;
+using membership_message =
+    std::variant<datagram_received, local_announcement_changed, local_version_changed, sync_requested,
+                 sync_replied, progress_requested, sync_asked, seeds_found, leave_mesh>;
 
 /// Where the decisions of the membership duty go. None of the sinks may wait.
 struct membership_sinks {
--- a/packages/daemon/include/boragehollow/daemon/publisher_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/publisher_duty.hpp
@@ -6,8 +6,8 @@
 #include "boragehollow/common/reply_slot.hpp"
 #include "boragehollow/daemon/notices.hpp"
 #include "boragehollow/daemon/operator_services.hpp"
-#include "boragehollow/platform/log_client.hpp"
 #include "boragehollow/settings/daemon_settings.hpp"
+#include "boragehollow/streams/log_client.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
 #include <chrono>
@@ -33,7 +33,7 @@
 /// it is repeated; a repetition is harmless, since the state recognises the change id.
 class publisher_duty {
 public:
-    publisher_duty(platform::log_client client, settings::platform_settings settings,
+    publisher_duty(streams::log_client client, settings::platform_settings settings,
                    common::random_source random, std::size_t ring_size, const telemetry::event_log& events);
     ~publisher_duty();
 
@@ -80,7 +80,7 @@
     std::optional<publish_result> take_step(pending_change& pending, searching& state);
     std::optional<publish_result> take_step(pending_change& pending, awaiting_verdict& state);
     std::optional<publish_result> known_verdict(const std::string& change_id) const;
-    std::optional<common::revision> find_record(const platform::log_page& page,
+    std::optional<common::revision> find_record(const streams::log_page& page,
                                                 const std::string& change_id) const;
     void wait_before_retry(pending_change& pending);
     std::chrono::milliseconds call_limit(const pending_change& pending) const;
@@ -88,7 +88,7 @@
     void finish(pending_change& pending, publish_result result) const;
     static publish_result given_up(const pending_change& pending, const std::string& detail);
 
-    platform::log_client m_client;
+    streams::log_client m_client;
     settings::platform_settings m_settings;
     common::random_source m_random;
     const telemetry::event_log& m_events;
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/state_duty.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/published.hpp"
+#include "boragehollow/config/numbered_state.hpp"
+#include "boragehollow/routing/route_table.hpp"
+#include "boragehollow/telemetry/event_log.hpp"
+
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace boragehollow::daemon {
+
+/// A configuration document from the platform or from another daemon.
+struct document_received {
+    std::string document;
+    bool from_peer = false;
+};
+
+/// Another daemon was seen to have a newer version.
+struct newer_version_seen {
+    common::endpoint peer;
+    common::revision version;
+};
+
+using state_message = std::variant<document_received, newer_version_seen>;
+
+/// The document of the version in force, for other daemons that ask for it.
+struct document_in_force {
+    common::revision version;
+    std::string document;
+};
+
+/// What a state in force leads to.
+struct state_sinks {
+    std::function<void(const config::state_in_force&, std::shared_ptr<const routing::route_table>)> in_force;
+    std::function<void(const common::endpoint& peer)> fetch;
+};
+
+using document_decoder = std::function<tl::expected<config::numbered_state, std::string>(const std::string&)>;
+
+/// Thread that puts configuration documents in force: whole, valid and newer ones only. When another daemon
+/// has a newer version for a while, it fetches the document from there, so that a daemon which the platform
+/// turns away still converges.
+class state_duty {
+public:
+    state_duty(document_decoder decode, state_sinks sinks, std::size_t ring_size,
+               const telemetry::event_log& events);
+    ~state_duty();
+
+    void stop();
+
+    common::bounded_ring<state_message>& ring() { return m_ring; }
+    std::shared_ptr<const document_in_force> document() const { return m_document.load(); }
+
+private:
+    void run();
+    void handle(document_received& message, common::steady_time now);
+    void handle(const newer_version_seen& message, common::steady_time now);
+    void fetch_if_due(common::steady_time now);
+
+    document_decoder m_decode;
+    state_sinks m_sinks;
+    const telemetry::event_log& m_events;
+    common::revision m_version;
+    common::published<document_in_force> m_document;
+    std::optional<newer_version_seen> m_newer;
+    common::steady_time m_fetch_at;
+    common::bounded_ring<state_message> m_ring;
+    common::duty m_thread;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/target_views.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "boragehollow/balancing/target_view.hpp"
+#include "boragehollow/membership/target_directory.hpp"
+
+#include <vector>
+
+namespace boragehollow::daemon {
+
+/// Targets of the member table as the balancer sees them.
+std::vector<balancing::target_view> target_views(const membership::target_list& targets);
+
+} // namespace boragehollow::daemon
--- a/packages/daemon/src/dispatch_duty.cpp
+++ b/packages/daemon/src/dispatch_duty.cpp
@@ -1,5 +1,7 @@
 #include "boragehollow/daemon/dispatch_duty.hpp"
 
+#include "boragehollow/daemon/target_views.hpp"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -8,31 +10,6 @@
 
 namespace {
 
-balancing::target_view view_of(const membership::target& known) {
-    balancing::target_view view;
-    view.host = known.host;
-    view.failure_domain = known.failure_domain;
-    view.peer = known.peer;
-    view.labels = known.labels;
-    view.slots = known.slots;
-    view.first_seen = known.first_seen;
-    view.lost_since = known.lost_since;
-    switch (known.state) {
-    case membership::target_state::ready:
-        view.state = balancing::target_state::ready;
-        break;
-    case membership::target_state::starting:
-        view.state = balancing::target_state::starting;
-        break;
-    case membership::target_state::none:
-    case membership::target_state::draining:
-    case membership::target_state::gone:
-        view.state = balancing::target_state::draining;
-        break;
-    }
-    return view;
-}
-
 struct service_configuration {
     const config::service_policy* policy = nullptr;
     std::vector<config::target_rule> rules;
@@ -137,12 +114,7 @@
                 continue;
             }
         }
-        std::vector<balancing::target_view> views;
-        views.reserve(targets->size());
-        for (const membership::target& known : *targets) {
-            views.push_back(view_of(known));
-        }
-        m_balancer.update_targets(service, views, now);
+        m_balancer.update_targets(service, target_views(*targets), now);
     }
     if (!previous) {
         return;
--- /dev/null
+++ b/packages/daemon/src/instance_duty.cpp
@@ -0,0 +1,98 @@
+#include "boragehollow/daemon/instance_duty.hpp"
+
+#include "boragehollow/common/overloaded.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace boragehollow::daemon {
+
+namespace {
+
+using telemetry::event_number;
+
+constexpr std::chrono::milliseconds silence_check{1'000};
+
+} // namespace
+
+instance_duty::instance_duty(admission::ledger_settings settings,
+                             std::function<void(std::optional<admission::current_instance>)> changed,
+                             std::size_t ring_size, const telemetry::event_log& events)
+    : m_ledger(std::move(settings)), m_changed(std::move(changed)), m_events(events), m_ring(ring_size),
+      m_thread("instance", [this](const std::stop_token&) { run(); }) {}
+
+instance_duty::~instance_duty() {
+    stop();
+}
+
+void instance_duty::stop() {
+    m_ring.close();
+    m_thread.join();
+}
+
+void instance_duty::run() {
+    while (true) {
+        auto message = m_ring.pop_until(common::steady_clock::now() + silence_check);
+        const common::steady_time now = common::steady_clock::now();
+        if (message) {
+            std::visit([&](auto& concrete) { handle(concrete, now); }, *message);
+        } else if (m_ring.closed()) {
+            return;
+        }
+        if (m_ledger.check_silence(now)) {
+            m_events.emit(event_number::target_silent);
+            hand_on();
+        }
+    }
+}
+
+void instance_duty::handle(instance_announced& message, common::steady_time now) {
+    const admission::ledger_verdict verdict = m_ledger.announce(message.announcement, now);
+    std::visit(common::overloaded{[&](const admission::announcement_taken& taken) {
+                                      if (taken.changed) {
+                                          hand_on();
+                                      }
+                                  },
+                                  [&](const admission::announcement_outdated&) {
+                                      m_events.emit(event_number::target_announcement_outdated,
+                                                    {{"instance", message.announcement.id},
+                                                     {"sequence", message.announcement.sequence}});
+                                  },
+                                  [&](const admission::announcement_foreign& foreign) {
+                                      m_events.emit(event_number::target_announcement_invalid,
+                                                    {{"instance", message.announcement.id},
+                                                     {"detail", foreign.reason}});
+                                  }},
+               verdict);
+    message.reply.set(verdict);
+}
+
+void instance_duty::handle(const instance_left& message, common::steady_time now) {
+    if (m_ledger.leave(message.id, now)) {
+        m_events.emit(event_number::target_left, {{"instance", message.id}, {"reason", "announced"}});
+        hand_on();
+    }
+    message.reply.set(true);
+}
+
+void instance_duty::handle(const instance_unreachable&, common::steady_time) {
+    if (m_ledger.unreachable()) {
+        m_events.emit(event_number::target_left, {{"reason", "unreachable"}});
+        hand_on();
+    }
+}
+
+void instance_duty::hand_on() {
+    const auto current = m_ledger.current();
+    if (current) {
+        const bool draining = current->state == admission::target_state::draining;
+        m_events.emit(draining ? event_number::target_draining : event_number::target_announced,
+                      {{"instance", current->id},
+                       {"service", current->service},
+                       {"address", common::to_string(current->address)},
+                       {"slots", current->slots}});
+    }
+    m_changed(current);
+}
+
+} // namespace boragehollow::daemon
--- a/packages/daemon/src/log_reader_duty.cpp
+++ b/packages/daemon/src/log_reader_duty.cpp
@@ -1,6 +1,6 @@
 #include "boragehollow/daemon/log_reader_duty.hpp"
 
-#include "boragehollow/platform/snapshot_stream.hpp"
+#include "boragehollow/streams/snapshot_stream.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -19,7 +19,7 @@
 
 } // namespace
 
-log_reader_duty::log_reader_duty(platform::log_client client, settings::platform_settings settings,
+log_reader_duty::log_reader_duty(streams::log_client client, settings::platform_settings settings,
                                  common::random_source random, std::size_t ring_size, log_reader_sink sink,
                                  const telemetry::event_log& events)
     : m_client(std::move(client)), m_settings(std::move(settings)), m_random(random), m_sink(std::move(sink)),
@@ -63,7 +63,7 @@
 }
 
 void log_reader_duty::handle(const read_snapshot&) {
-    auto found = platform::read_newest_snapshot(m_client, snapshot_stream, m_settings.request_timeout);
+    auto found = streams::read_newest_snapshot(m_client, snapshot_stream, m_settings.request_timeout);
     if (!found || !*found) {
         m_sink(platform_snapshot_missing{});
         return;
@@ -76,7 +76,7 @@
 void log_reader_duty::handle(const store_snapshot& message) {
     const config::config_snapshot& state = *message.state;
     const auto stored =
-        platform::append_snapshot(m_client, snapshot_stream, state, m_settings.request_timeout);
+        streams::append_snapshot(m_client, snapshot_stream, state, m_settings.request_timeout);
     if (!stored) {
         m_events.emit(event_number::snapshot_append_failed,
                       {{"version", state.version.value}, {"detail", stored.error().detail}});
@@ -89,8 +89,8 @@
 
 void log_reader_duty::read_once() {
     const milliseconds wait = m_at_head ? m_settings.long_poll : milliseconds(0);
-    auto page = platform::read(m_client, {config_stream, m_position.next(), page_records, wait},
-                               wait + m_settings.request_timeout);
+    auto page = streams::read(m_client, {config_stream, m_position.next(), page_records, wait},
+                              wait + m_settings.request_timeout);
     if (!page) {
         read_failed(page.error());
         return;
@@ -102,7 +102,7 @@
     take(std::move(*page));
 }
 
-void log_reader_duty::take(platform::log_page page) {
+void log_reader_duty::take(streams::log_page page) {
     const bool gap = m_position.next() < page.first_retained;
     const bool first_head = !m_at_head;
     if (gap) {
@@ -123,9 +123,9 @@
     m_sink(log_head_read{{page.first_retained, page.next_offset}});
 }
 
-void log_reader_duty::read_failed(const platform::log_error& error) {
+void log_reader_duty::read_failed(const streams::log_error& error) {
     if (std::exchange(m_reachable, false)) {
-        const bool invalid = error.kind == platform::log_error_kind::malformed;
+        const bool invalid = error.kind == streams::log_error_kind::malformed;
         m_events.emit(invalid ? event_number::log_reply_invalid : event_number::log_unreachable,
                       {{"detail", error.detail}});
     }
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -155,6 +155,15 @@
                                requested.reply.set(m_engine.progress(requested.version));
                                return membership::membership_effects{};
                            },
+                           [&](const sync_asked& asked) {
+                               auto answer = m_engine.answer_sync(asked.request, now);
+                               asked.answer(answer.reply);
+                               return std::move(answer.effects);
+                           },
+                           [&](const seeds_found& found) {
+                               m_engine.add_seeds(found.seeds);
+                               return membership::membership_effects{};
+                           },
                            [&](const leave_mesh&) { return m_engine.leave(now); }},
         message);
 }
--- a/packages/daemon/src/publisher_duty.cpp
+++ b/packages/daemon/src/publisher_duty.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-publisher_duty::publisher_duty(platform::log_client client, settings::platform_settings settings,
+publisher_duty::publisher_duty(streams::log_client client, settings::platform_settings settings,
                                common::random_source random, std::size_t ring_size,
                                const telemetry::event_log& events)
     : m_client(std::move(client)), m_settings(std::move(settings)), m_random(random), m_events(events),
@@ -127,7 +127,7 @@
 }
 
 std::optional<publish_result> publisher_duty::take_step(pending_change& pending, appending& /*state*/) {
-    const auto offset = platform::append(m_client, config_stream, pending.record, call_limit(pending));
+    const auto offset = streams::append(m_client, config_stream, pending.record, call_limit(pending));
     if (offset) {
         m_events.emit(event_number::append_accepted,
                       {{"change", pending.change_id}, {"version", offset->value}});
@@ -135,8 +135,8 @@
         pending.due = common::steady_clock::now() + until_woken;
         return std::nullopt;
     }
-    const platform::log_error& error = offset.error();
-    if (platform::may_have_appended(error)) {
+    const streams::log_error& error = offset.error();
+    if (streams::may_have_appended(error)) {
         m_events.emit(event_number::append_answer_lost,
                       {{"change", pending.change_id}, {"detail", error.detail}});
         pending.may_be_appended = true;
@@ -155,8 +155,8 @@
 
 std::optional<publish_result> publisher_duty::take_step(pending_change& pending, searching& state) {
     const auto page =
-        platform::read(m_client, {config_stream, state.position.next(), search_page_records, milliseconds(0)},
-                       call_limit(pending));
+        streams::read(m_client, {config_stream, state.position.next(), search_page_records, milliseconds(0)},
+                      call_limit(pending));
     if (!page) {
         wait_before_retry(pending);
         return std::nullopt;
@@ -198,7 +198,7 @@
     return change_judged{outcome->at, outcome->result};
 }
 
-std::optional<common::revision> publisher_duty::find_record(const platform::log_page& page,
+std::optional<common::revision> publisher_duty::find_record(const streams::log_page& page,
                                                             const std::string& change_id) const {
     for (const spreading::log_record& record : page.records) {
         const auto change = codec::decode_change(*record.bytes, m_snapshot->active_schema);
--- /dev/null
+++ b/packages/daemon/src/registry_duty.cpp
@@ -0,0 +1,95 @@
+#include "boragehollow/daemon/registry_duty.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace boragehollow::daemon {
+
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::event_number;
+
+constexpr milliseconds first_backoff{150};
+constexpr milliseconds longest_backoff{1'500};
+constexpr unsigned most_doublings = 4;
+
+/// Daemons that started at the same moment have entered themselves by then.
+constexpr milliseconds second_look{1'200};
+
+/// Only a daemon that lost all of its peers learns something new later. Each look is a priced call.
+constexpr milliseconds later_looks{30'000};
+
+} // namespace
+
+registry_duty::registry_duty(registry_access access, std::function<void(std::vector<common::endpoint>)> found,
+                             common::random_source random, const telemetry::event_log& events)
+    : m_access(std::move(access)), m_found(std::move(found)), m_random(random), m_events(events),
+      m_thread("registry", [this](const std::stop_token& stop) { run(stop); }) {}
+
+registry_duty::~registry_duty() {
+    stop();
+}
+
+void registry_duty::stop() {
+    m_thread.request_stop();
+    m_wake.close();
+    m_thread.join();
+}
+
+milliseconds registry_duty::backoff(unsigned failures) {
+    const milliseconds full =
+        std::min(longest_backoff, first_backoff * (1U << std::min(failures, most_doublings)));
+    return full / 2 + std::chrono::duration_cast<milliseconds>(m_random.jitter(full));
+}
+
+void registry_duty::run(const std::stop_token& stop) {
+    bool entered = false;
+    unsigned looks = 0;
+    unsigned failures = 0;
+    while (!stop.stop_requested()) {
+        // Looking does not depend on the entry: a store that refuses writes may still answer reads.
+        entered = entered || enter(stop);
+        const bool looked = look(stop);
+        if (!entered || !looked) {
+            wait(backoff(failures++));
+            continue;
+        }
+        failures = 0;
+        const milliseconds pause = looks++ == 0 ? second_look : later_looks;
+        wait(pause + std::chrono::duration_cast<milliseconds>(m_random.jitter(pause / 4)));
+    }
+}
+
+bool registry_duty::enter(const std::stop_token& stop) {
+    const auto entered = m_access.enter_self(stop);
+    if (stop.stop_requested()) {
+        return false;
+    }
+    if (!entered) {
+        m_events.emit(event_number::member_registration_failed, {{"detail", entered.error()}});
+        return false;
+    }
+    m_events.emit(event_number::member_registered);
+    return true;
+}
+
+bool registry_duty::look(const std::stop_token& stop) {
+    auto listed = m_access.list(stop);
+    if (stop.stop_requested()) {
+        return false;
+    }
+    if (!listed) {
+        m_events.emit(event_number::member_registration_failed, {{"detail", listed.error()}});
+        return false;
+    }
+    m_events.emit(event_number::member_seeds_found, {{"count", listed->size()}});
+    m_found(std::move(*listed));
+    return true;
+}
+
+void registry_duty::wait(milliseconds pause) {
+    m_wake.pop_until(common::steady_clock::now() + pause);
+}
+
+} // namespace boragehollow::daemon
--- a/packages/daemon/tests/bad_input_test.cpp
+++ b/packages/daemon/tests/bad_input_test.cpp
@@ -59,7 +59,7 @@
 class running_daemon {
 public:
     running_daemon()
-        : m_log(platform_log::log_server::start({"127.0.0.1", 0}, std::make_shared<platform::memory_log>())
+        : m_log(platform_log::log_server::start({"127.0.0.1", 0}, std::make_shared<streams::memory_log>())
                     .value()),
           m_target([](web::server_exchange& exchange) { exchange.respond(200, {}, "done"); }) {
         const std::string text = settings_text + ("log = \"" + common::to_string(m_log->address()) + "\"\n");
--- a/packages/daemon/tests/log_path_test.cpp
+++ b/packages/daemon/tests/log_path_test.cpp
@@ -38,18 +38,18 @@
 /// The duties between the platform's log and the configuration in force, joined as in a daemon.
 class log_path {
 public:
-    log_path(const std::string& host, const std::shared_ptr<platform::memory_log>& log,
+    log_path(const std::string& host, const std::shared_ptr<streams::memory_log>& log,
              log_path* peer = nullptr)
         : m_log(log), m_peer(peer),
           m_events(host, std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}),
-          m_publisher(platform::memory_log_client{log, host}, fast_platform(), common::random_source(1), 16,
+          m_publisher(streams::memory_log_client{log, host}, fast_platform(), common::random_source(1), 16,
                       m_events),
           m_apply(64,
                   {[this](const codec::snapshot_pointer& state) { return applied(state); },
                    [this] { m_spreading.ring().try_push(handover_refused{}); }},
                   m_events),
           m_reader(
-              platform::memory_log_client{log, host}, fast_platform(), common::random_source(2), 16,
+              streams::memory_log_client{log, host}, fast_platform(), common::random_source(2), 16,
               [this](spreading_message message) { m_spreading.ring().try_push(std::move(message)); },
               m_events),
           m_spreading(fast_spreading(host), common::random_source(3), 256, sinks(), m_events) {}
@@ -111,7 +111,7 @@
         }
     }
 
-    std::shared_ptr<platform::memory_log> m_log;
+    std::shared_ptr<streams::memory_log> m_log;
     log_path* m_peer;
     telemetry::event_log m_events;
     common::published<config::config_snapshot> m_newest;
@@ -124,7 +124,7 @@
 };
 
 struct fixture : testing::Test {
-    std::shared_ptr<platform::memory_log> log = std::make_shared<platform::memory_log>();
+    std::shared_ptr<streams::memory_log> log = std::make_shared<streams::memory_log>();
     const spreading::peer_view lone_reader{{}, {}, {}, true, true};
 
     std::uint64_t records() const { return log->counters().by_stream["config"].appends; }
--- /dev/null
+++ b/packages/forwarding/include/boragehollow/forwarding/asio.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <utility> // Boost 1.74's awaitable.hpp uses std::exchange without including it.
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <string_view>
+
+/// Names of Boost.Asio and Boost.Beast that all of this library uses.
+namespace boragehollow::forwarding {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+using request_message = http::request<http::string_body>;
+using response_message = http::response<http::string_body>;
+
+/// Token for operations that report their error through `failed`.
+inline auto result_in(error_code& failed) {
+    return asio::redirect_error(asio::use_awaitable, failed);
+}
+
+inline std::string_view view_of(beast::string_view text) {
+    return {text.data(), text.size()};
+}
+
+inline beast::string_view beast_view(std::string_view text) {
+    return {text.data(), text.size()};
+}
+
+} // namespace boragehollow::forwarding
--- /dev/null
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+#include "boragehollow/forwarding/call_router.hpp"
+#include "boragehollow/forwarding/http_session.hpp"
+#include "boragehollow/forwarding/local_target.hpp"
+
+#include <tl/expected.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace boragehollow::forwarding {
+
+/// A newer configuration is in force.
+struct configuration_changed {
+    std::shared_ptr<const routing::route_table> routes;
+    config::caller_limits limits;
+};
+
+/// The targets of one service changed.
+struct service_targets {
+    std::string service;
+    std::vector<balancing::target_view> targets;
+};
+
+struct targets_changed {
+    std::vector<service_targets> services;
+};
+
+/// The target on this host announced itself, changed or is gone.
+struct local_instance_changed {
+    std::optional<target_instance> instance;
+};
+
+/// Sends a control request to another daemon; `answered` gets the body of the response, or nothing.
+struct ask_peer {
+    common::endpoint peer;
+    std::string path;
+    std::string body;
+    std::chrono::milliseconds timeout{1'000};
+    std::function<void(std::optional<std::string>)> answered;
+};
+
+/// The target on this host takes no more calls.
+struct refuse_new_work {};
+
+using forwarder_message =
+    std::variant<configuration_changed, targets_changed, local_instance_changed, ask_peer, refuse_new_work>;
+
+/// Answers a control request of another daemon. `answer` may be called later and from any thread, once, with
+/// the body of the response or nothing.
+using peer_request_handler = std::function<void(const std::string& path, std::string body,
+                                                std::function<void(std::optional<std::string>)> answer)>;
+
+struct forwarder_settings {
+    common::endpoint callers; ///< Where the callers on this host connect.
+    common::endpoint peers;   ///< Where other daemons connect.
+    router_settings router;
+    admission::admission_settings admission;
+    std::size_t ring_size = 1'024;
+};
+
+struct forwarder_sinks {
+    peer_request_handler peer_request;
+    newer_config_sink newer_config;
+    std::function<void()> target_unreachable;
+};
+
+/// Thread that carries all calls: those of the callers on this host, and those that other daemons send to the
+/// target on this host. It waits in the kernel for all of its connections at once.
+class forwarder {
+public:
+    static tl::expected<std::unique_ptr<forwarder>, std::string> start(const forwarder_settings& settings,
+                                                                       forwarder_sinks sinks,
+                                                                       const telemetry::event_log& events,
+                                                                       telemetry::metric_registry& metrics);
+
+    forwarder(const forwarder&) = delete;
+    forwarder& operator=(const forwarder&) = delete;
+    ~forwarder();
+
+    /// Never waits; false when the ring is full.
+    bool post(forwarder_message message);
+    common::ring_stats ring_stats() const { return m_ring.stats(); }
+
+    common::endpoint callers() const { return m_caller_address; }
+    common::endpoint peers() const { return m_peer_address; }
+
+    /// From now on each response to a caller ends its connection.
+    void begin_stop() { m_stopping = true; }
+    /// Calls of callers and calls at the local target.
+    std::size_t open_calls() const { return m_open_calls; }
+    bool has_configuration() const { return m_has_configuration; }
+
+    /// Ends the thread.
+    void stop();
+
+private:
+    using session_set = std::set<std::shared_ptr<http_session>>;
+
+    forwarder(const forwarder_settings& settings, forwarder_sinks sinks, const telemetry::event_log& events,
+              telemetry::metric_registry& metrics);
+
+    tl::expected<void, std::string> open(tcp::acceptor& acceptor, const common::endpoint& listen,
+                                         common::endpoint& bound);
+    void run();
+    asio::awaitable<void> accept(tcp::acceptor& acceptor, std::shared_ptr<const session_services> services);
+    asio::awaitable<void> sweep();
+    asio::awaitable<response_message> serve_caller(request_message request, cancellation_ptr cancelled);
+    asio::awaitable<response_message> serve_peer(request_message request, cancellation_ptr cancelled);
+    asio::awaitable<response_message> serve_control(request_message request);
+    asio::awaitable<void> ask(ask_peer request);
+    void take_messages();
+    void handle(configuration_changed& message);
+    void handle(targets_changed& message);
+    void handle(local_instance_changed& message);
+    void handle(ask_peer& message);
+    void handle(const refuse_new_work& message);
+
+    forwarder_settings m_settings;
+    forwarder_sinks m_sinks;
+    const telemetry::event_log& m_events;
+    asio::io_context m_context{1};
+    common::bounded_ring<forwarder_message> m_ring;
+    std::atomic<bool> m_wake_pending{false};
+    std::atomic<bool> m_stopping{false};
+    std::atomic<bool> m_has_configuration{false};
+    std::atomic<std::size_t> m_open_calls{0};
+    config::caller_limits m_limits;
+    local_target m_target;
+    call_router m_router;
+    connection_pool m_control_pool;
+    tcp::acceptor m_caller_acceptor;
+    tcp::acceptor m_peer_acceptor;
+    common::endpoint m_caller_address;
+    common::endpoint m_peer_address;
+    session_set m_sessions;
+    asio::steady_timer m_sweep_timer;
+    std::optional<common::duty> m_thread;
+};
+
+} // namespace boragehollow::forwarding
--- /dev/null
+++ b/packages/forwarding/src/forwarder.cpp
@@ -0,0 +1,286 @@
+#include "boragehollow/forwarding/forwarder.hpp"
+
+#include "boragehollow/common/scope_guard.hpp"
+
+#include <utility>
+
+namespace boragehollow::forwarding {
+
+namespace {
+
+using std::chrono::milliseconds;
+using telemetry::event_number;
+
+/// Idle connections and time limits of callers are looked at this often; the shortest limit is a few seconds.
+constexpr milliseconds sweep_interval{500};
+
+/// Pause after a failed accept, which happens when no descriptor is left.
+constexpr milliseconds accept_pause{20};
+
+/// The asking daemon waits no longer for a control answer.
+constexpr std::chrono::seconds answer_limit{2};
+
+constexpr std::string_view control_prefix = "/boragehollow.control/";
+
+/// A daemon's own limits for other daemons: their calls have the size of the callers' requests.
+config::caller_limits peer_limits(const config::caller_limits& callers) {
+    constexpr std::size_t hop_header_room = 8 * 1024;
+    config::caller_limits limits = callers;
+    limits.header_bytes += hop_header_room;
+    // A daemon closes its own idle connections first, so that none is closed under a request.
+    limits.idle_timeout = std::chrono::seconds(20);
+    return limits;
+}
+
+} // namespace
+
+forwarder::forwarder(const forwarder_settings& settings, forwarder_sinks sinks,
+                     const telemetry::event_log& events, telemetry::metric_registry& metrics)
+    : m_settings(settings), m_sinks(std::move(sinks)), m_events(events), m_ring(settings.ring_size),
+      m_target(m_context, settings.router.names, settings.admission, events,
+               [this] { m_sinks.target_unreachable(); }),
+      m_router(m_context, settings.router, m_target, common::random_source::from_system(), events, metrics,
+               [this](const common::endpoint& peer, common::revision version) {
+                   m_sinks.newer_config(peer, version);
+               }),
+      m_control_pool(m_context), m_caller_acceptor(m_context), m_peer_acceptor(m_context),
+      m_sweep_timer(m_context) {
+    metrics.add_ring("forwarder", [this] { return m_ring.stats(); });
+    metrics.add_computed_gauge("boragehollow_open_calls", "Calls that are open on this daemon", {},
+                               [this] { return static_cast<double>(m_open_calls.load()); });
+}
+
+tl::expected<std::unique_ptr<forwarder>, std::string> forwarder::start(const forwarder_settings& settings,
+                                                                       forwarder_sinks sinks,
+                                                                       const telemetry::event_log& events,
+                                                                       telemetry::metric_registry& metrics) {
+    std::unique_ptr<forwarder> created(new forwarder(settings, std::move(sinks), events, metrics));
+    auto opened = created->open(created->m_caller_acceptor, settings.callers, created->m_caller_address);
+    if (opened) {
+        opened = created->open(created->m_peer_acceptor, settings.peers, created->m_peer_address);
+    }
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    forwarder& self = *created;
+    self.m_thread.emplace("forwarder", [&self](const std::stop_token&) { self.run(); });
+    return created;
+}
+
+forwarder::~forwarder() {
+    stop();
+}
+
+void forwarder::stop() {
+    if (!m_thread) {
+        return;
+    }
+    m_ring.close();
+    m_context.stop();
+    m_thread->join();
+    m_thread.reset();
+}
+
+tl::expected<void, std::string> forwarder::open(tcp::acceptor& acceptor, const common::endpoint& listen,
+                                                common::endpoint& bound) {
+    error_code failed;
+    const auto address = asio::ip::make_address(listen.address, failed);
+    if (failed) {
+        return tl::unexpected(common::to_string(listen) + " is not an address");
+    }
+    const tcp::endpoint local(address, listen.port);
+    acceptor.open(local.protocol(), failed);
+    if (!failed) {
+        acceptor.set_option(tcp::acceptor::reuse_address(true), failed);
+    }
+    if (!failed) {
+        acceptor.bind(local, failed);
+    }
+    if (!failed) {
+        acceptor.listen(tcp::acceptor::max_listen_connections, failed);
+    }
+    if (failed) {
+        return tl::unexpected("cannot listen on " + common::to_string(listen) + ": " + failed.message());
+    }
+    bound = {listen.address, acceptor.local_endpoint().port()};
+    return {};
+}
+
+bool forwarder::post(forwarder_message message) {
+    if (!m_ring.try_push(std::move(message))) {
+        m_events.emit(event_number::ring_overflow, {{"ring", "forwarder"}});
+        return false;
+    }
+    // One wake-up serves all messages that arrive before it runs.
+    if (!m_wake_pending.exchange(true)) {
+        asio::post(m_context, [this] { take_messages(); });
+    }
+    return true;
+}
+
+void forwarder::take_messages() {
+    m_wake_pending = false;
+    while (auto message = m_ring.pop_until(common::steady_clock::now())) {
+        std::visit([this](auto& concrete) { handle(concrete); }, *message);
+    }
+}
+
+void forwarder::run() {
+    auto callers = std::make_shared<session_services>();
+    callers->handle = [this](request_message request, cancellation_ptr cancelled) {
+        return serve_caller(std::move(request), std::move(cancelled));
+    };
+    callers->may_overtake = [this](const request_message& request) { return m_router.may_overtake(request); };
+    callers->limits = [this] { return m_limits; };
+    callers->stopping = [this] { return m_stopping.load(); };
+
+    auto peers = std::make_shared<session_services>();
+    peers->handle = [this](request_message request, cancellation_ptr cancelled) {
+        return serve_peer(std::move(request), std::move(cancelled));
+    };
+    peers->may_overtake = [](const request_message&) { return false; };
+    peers->limits = [this] { return peer_limits(m_limits); };
+    peers->stopping = [] { return false; };
+
+    asio::co_spawn(m_context, accept(m_caller_acceptor, callers), asio::detached);
+    asio::co_spawn(m_context, accept(m_peer_acceptor, peers), asio::detached);
+    asio::co_spawn(m_context, sweep(), asio::detached);
+    m_context.run();
+}
+
+asio::awaitable<void> forwarder::accept(tcp::acceptor& acceptor,
+                                        std::shared_ptr<const session_services> services) {
+    while (true) {
+        tcp::socket socket(m_context);
+        error_code failed;
+        co_await acceptor.async_accept(socket, result_in(failed));
+        if (failed) {
+            asio::steady_timer pause(m_context, accept_pause);
+            co_await pause.async_wait(result_in(failed));
+            continue;
+        }
+        auto session = std::make_shared<http_session>(std::move(socket), services);
+        m_sessions.insert(session);
+        session->start();
+    }
+}
+
+asio::awaitable<void> forwarder::sweep() {
+    while (true) {
+        m_sweep_timer.expires_after(sweep_interval);
+        error_code ignored;
+        co_await m_sweep_timer.async_wait(result_in(ignored));
+        const common::steady_time now = common::steady_clock::now();
+        for (auto at = m_sessions.begin(); at != m_sessions.end();) {
+            const std::shared_ptr<http_session> session = *at;
+            session->check_time_limits(now);
+            at = session->closed() ? m_sessions.erase(at) : std::next(at);
+        }
+        m_target.expire(now);
+        m_router.expire(now);
+        m_control_pool.expire(now);
+    }
+}
+
+asio::awaitable<response_message> forwarder::serve_caller(request_message request,
+                                                          cancellation_ptr cancelled) {
+    ++m_open_calls;
+    const common::scope_guard ended([this] { --m_open_calls; });
+    co_return co_await m_router.handle(std::move(request), std::move(cancelled));
+}
+
+asio::awaitable<response_message> forwarder::serve_peer(request_message request, cancellation_ptr cancelled) {
+    if (view_of(request.target()).starts_with(control_prefix)) {
+        co_return co_await serve_control(std::move(request));
+    }
+    auto call = take_hop_call(request);
+    if (!call) {
+        response_message refused{http::status::bad_request, 11};
+        refused.prepare_payload();
+        co_return refused;
+    }
+    ++m_open_calls;
+    const common::scope_guard ended([this] { --m_open_calls; });
+    remove_connection_headers(request);
+    // A call that must not run twice goes on when its caller's daemon is gone: its caller may still be told.
+    const cancellation_ptr stop = call->idempotent ? cancelled : std::make_shared<cancellation>();
+    co_return co_await m_target.run(std::move(*call), std::move(request), stop);
+}
+
+asio::awaitable<response_message> forwarder::serve_control(request_message request) {
+    struct answer_state {
+        explicit answer_state(asio::io_context& context) : signal(context, answer_limit) {}
+        asio::steady_timer signal;
+        std::optional<std::string> body;
+    };
+    const auto state = std::make_shared<answer_state>(m_context);
+    const std::string path(view_of(request.target()).substr(control_prefix.size()));
+    m_sinks.peer_request(path, std::move(request.body()), [this, state](std::optional<std::string> body) {
+        asio::post(m_context, [state, body = std::move(body)]() mutable {
+            state->body = std::move(body);
+            state->signal.cancel();
+        });
+    });
+    error_code ignored;
+    co_await state->signal.async_wait(result_in(ignored));
+    response_message response{state->body ? http::status::ok : http::status::service_unavailable, 11};
+    if (state->body) {
+        response.body() = std::move(*state->body);
+    }
+    response.prepare_payload();
+    co_return response;
+}
+
+asio::awaitable<void> forwarder::ask(ask_peer request) {
+    request_message message{http::verb::post, std::string(control_prefix) + request.path, 11};
+    message.set(http::field::host, common::to_string(request.peer));
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    exchange_options options;
+    options.deadline = common::steady_clock::now() + request.timeout;
+    const auto nobody = std::make_shared<cancellation>();
+    auto response =
+        co_await m_control_pool.exchange(request.peer, std::move(message), std::move(options), nobody);
+    if (!response || response->result() != http::status::ok) {
+        const std::string detail =
+            response ? "status " + std::to_string(response->result_int()) : response.error().detail;
+        m_events.emit(
+            event_number::peer_request_failed,
+            {{"peer", common::to_string(request.peer)}, {"request", request.path}, {"detail", detail}});
+        request.answered(std::nullopt);
+        co_return;
+    }
+    request.answered(std::move(response->body()));
+}
+
+void forwarder::handle(configuration_changed& message) {
+    const common::steady_time now = common::steady_clock::now();
+    m_limits = message.limits;
+    m_target.set_config_version(message.routes->snapshot()->version);
+    if (const auto own = message.routes->find_service(m_settings.router.service)) {
+        m_target.set_policy(own->policy->admission);
+    }
+    m_router.set_routes(std::move(message.routes), now);
+    m_has_configuration = true;
+}
+
+void forwarder::handle(targets_changed& message) {
+    const common::steady_time now = common::steady_clock::now();
+    for (const service_targets& service : message.services) {
+        m_router.targets().update_targets(service.service, service.targets, now);
+    }
+}
+
+void forwarder::handle(local_instance_changed& message) {
+    m_target.set_instance(std::move(message.instance));
+}
+
+void forwarder::handle(ask_peer& message) {
+    asio::co_spawn(m_context, ask(std::move(message)), asio::detached);
+}
+
+void forwarder::handle(const refuse_new_work&) {
+    m_target.start_drain();
+}
+
+} // namespace boragehollow::forwarding
--- a/packages/routing/src/route_table.cpp
+++ b/packages/routing/src/route_table.cpp
@@ -68,10 +68,12 @@
             return nullptr;
         }
         const config::route* best = nullptr;
+        const bool slash_ended = path.ends_with('/');
         const node* current = m_nodes.data();
         std::string_view rest = path.substr(1);
         while (true) {
-            if (const config::route* found = choose(*current, method, allowed)) {
+            if (const config::route* found =
+                    choose(*current, method, !rest.empty() || slash_ended, allowed)) {
                 best = found;
             }
             if (rest.empty()) {
@@ -91,9 +93,13 @@
         std::vector<const config::route*> routes;
     };
 
-    static const config::route* choose(const node& item, std::string_view method,
+    /// `below` says that the path goes on with a slash behind this node.
+    static const config::route* choose(const node& item, std::string_view method, bool below,
                                        std::set<std::string>* allowed) {
         for (const config::route* candidate : item.routes) {
+            if (candidate->only_below_prefix && !below) {
+                continue;
+            }
             if (candidate->methods.empty() ||
                 std::ranges::find(candidate->methods, method) != candidate->methods.end()) {
                 return candidate;
@@ -160,14 +166,16 @@
         }
     }
     for (const auto& [key, stored] : snapshot->resources) {
-        const std::string* service = config::referenced_service(stored.value);
-        const auto entry = service == nullptr ? compiled->services.end() : compiled->services.find(*service);
+        const std::vector<std::string> names = config::referenced_services(stored.value);
         // The state machine admits no dangling reference; a route of a missing service would break G2.
-        if (entry == compiled->services.end()) {
+        const bool known = !names.empty() && std::ranges::all_of(names, [&compiled](const auto& name) {
+            return compiled->services.contains(name);
+        });
+        if (!known) {
             continue;
         }
         if (const auto* rule = std::get_if<config::target_rule>(&stored.value)) {
-            entry->second->rules.push_back(rule);
+            compiled->services.at(names.front())->rules.push_back(rule);
         }
         if (const auto* item = std::get_if<config::route>(&stored.value)) {
             path_tree& tree = item->host.empty() ? compiled->any_host : compiled->hosts[item->host];
--- a/packages/settings/include/boragehollow/settings/daemon_settings.hpp
+++ b/packages/settings/include/boragehollow/settings/daemon_settings.hpp
@@ -26,16 +26,28 @@
 struct listener_settings {
     endpoint callers;
     endpoint operators;
-    endpoint peer;   ///< gRPC between daemons (TCP).
-    endpoint gossip; ///< Failure detector (UDP).
-    endpoint target; ///< Announcements of the target on this host.
+    endpoint peer;                     ///< gRPC between daemons (TCP).
+    endpoint gossip;                   ///< Failure detector (UDP).
+    endpoint target;                   ///< Announcements of the target on this host.
+    std::optional<endpoint> readiness; ///< Readiness for the platform (HTTP).
+};
+
+/// What is known of the target on this host before it announces itself.
+struct target_settings {
+    std::optional<std::string> service;
+    std::optional<endpoint> address;
 };
 
 struct gossip_settings {
     std::vector<endpoint> seeds;
 };
 
+/// Where the configuration comes from: changes that this product's operators append to the platform's log, or
+/// whole numbered documents that the platform's own operators write.
+enum class configuration_source { changes, documents };
+
 struct platform_settings {
+    configuration_source configuration = configuration_source::changes;
     std::optional<endpoint> log;
     milliseconds request_timeout{};
     milliseconds long_poll{};
@@ -119,6 +131,7 @@
 struct daemon_settings {
     identity_settings identity;
     listener_settings listeners;
+    target_settings target;
     gossip_settings gossip;
     platform_settings platform;
     ring_settings rings;
--- a/packages/settings/src/contradictions.cpp
+++ b/packages/settings/src/contradictions.cpp
@@ -85,7 +85,9 @@
                              common::format_duration(timing.swim_period) +
                              "), or no suspected member can refute in time"});
     }
-    if (timing.heartbeat * timing.missed_heartbeats >= silence_limit) {
+    // The platform's targets may announce themselves seconds late; there a refused connection ends a target.
+    const bool prompt = settings.platform.configuration == configuration_source::changes;
+    if (prompt && timing.heartbeat * timing.missed_heartbeats >= silence_limit) {
         found.push_back({{"timing.missed_heartbeats", "timing.heartbeat"},
                          "times timing.heartbeat must be less than 3s, after which a silent target "
                          "receives no new work"});
--- a/packages/settings/src/entries.cpp
+++ b/packages/settings/src/entries.cpp
@@ -55,11 +55,26 @@
         {"listeners.target",
          endpoint_entry{at<&root::listeners, &listener_settings::target>, "127.0.0.1:7084"},
          "Announcements of the target on this host (HTTP)."},
+        {"listeners.readiness", optional_endpoint_entry{at<&root::listeners, &listener_settings::readiness>},
+         "Readiness for the platform (HTTP). Used where the configuration comes as documents."},
+
+        {"target.service", optional_name_entry{at<&root::target, &target_settings::service>},
+         "Service of the target on this host. Announcements of another one are refused."},
+        {"target.address", optional_endpoint_entry{at<&root::target, &target_settings::address>},
+         "Address of the target on this host. Announcements of another one are refused."},
 
         {"gossip.seeds", endpoint_list_entry{at<&root::gossip, &gossip_settings::seeds>},
          "Gossip endpoints of other daemons that a starting daemon contacts first. Empty on the first daemon "
          "of a mesh."},
 
+        {"platform.configuration",
+         choice_entry{[](daemon_settings& s, std::size_t i) {
+                          s.platform.configuration = static_cast<configuration_source>(i);
+                      },
+                      {"changes", "documents"},
+                      0},
+         "Where the configuration comes from: changes that operators append through this product, or whole "
+         "numbered documents that the platform's operators write."},
         {"platform.log", optional_endpoint_entry{at<&root::platform, &platform_settings::log>},
          "Endpoint of the platform log. Without it the daemon depends on its peers and accepts no changes."},
         duration("platform.request_timeout", at<&root::platform, &platform_settings::request_timeout>, 5s,
@@ -190,9 +205,10 @@
 }
 
 std::span<const section> sections() {
-    static constexpr std::array<section, 11> all{{
+    static constexpr std::array<section, 12> all{{
         {"identity", "Who this daemon is."},
         {"listeners", "Where the daemon listens. Port 0 lets the system choose a port."},
+        {"target", "The target on this host."},
         {"gossip", "How the daemon finds the mesh."},
         {"platform", "The platform's append-only log."},
         {"rings", "Capacities of the rings between the daemon's duties."},
--- a/packages/settings/src/entries.hpp
+++ b/packages/settings/src/entries.hpp
@@ -33,6 +33,11 @@
     place<std::optional<endpoint>> at;
 };
 
+/// Name that may be left out.
+struct optional_name_entry {
+    place<std::optional<std::string>> at;
+};
+
 struct endpoint_list_entry {
     place<std::vector<endpoint>> at;
 };
@@ -78,9 +83,9 @@
     std::size_t fallback = 0;
 };
 
-using entry_kind =
-    std::variant<name_entry, endpoint_entry, optional_endpoint_entry, endpoint_list_entry, size_entry,
-                 count_entry, duration_entry, optional_duration_entry, flag_entry, choice_entry>;
+using entry_kind = std::variant<name_entry, optional_name_entry, endpoint_entry, optional_endpoint_entry,
+                                endpoint_list_entry, size_entry, count_entry, duration_entry,
+                                optional_duration_entry, flag_entry, choice_entry>;
 
 struct entry {
     std::string_view key; ///< `section.name`.
--- a/packages/settings/src/load.cpp
+++ b/packages/settings/src/load.cpp
@@ -93,8 +93,7 @@
     daemon_settings& settings;
     const toml::node& node;
 
-    problem operator()(const name_entry& kind) const {
-        std::string text;
+    problem read_name(std::string& text) const {
         if (auto wrong = read_text(node, text)) {
             return wrong;
         }
@@ -102,7 +101,17 @@
             !std::all_of(text.begin(), text.end(), is_name_character)) {
             return "must have 1 to 128 letters, digits, dots, hyphens or underscores";
         }
-        kind.at(settings) = text;
+        return std::nullopt;
+    }
+
+    problem operator()(const name_entry& kind) const { return read_name(kind.at(settings)); }
+
+    problem operator()(const optional_name_entry& kind) const {
+        std::string value;
+        if (auto wrong = read_name(value)) {
+            return wrong;
+        }
+        kind.at(settings) = std::move(value);
         return std::nullopt;
     }
 
@@ -187,6 +196,7 @@
             }
             return fallback.has_value();
         },
+        [](const optional_name_entry&) { return true; },
         [](const optional_endpoint_entry&) { return true; },
         [](const endpoint_list_entry&) { return true; },
         [&](const choice_entry& kind) {
--- a/packages/settings/src/reference.cpp
+++ b/packages/settings/src/reference.cpp
@@ -30,6 +30,9 @@
                                                     ? "required"
                                                     : code("\"" + std::string(each.fallback) + "\"")};
         },
+        [](const optional_name_entry&) {
+            return entry_text{"name", "none"};
+        },
         [](const optional_endpoint_entry&) {
             return entry_text{"`ADDRESS:PORT`", "none"};
         },
--- a/packages/streams/include/boragehollow/streams/http_log_client.hpp
+++ b/packages/streams/include/boragehollow/streams/http_log_client.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "boragehollow/common/endpoint.hpp"
-#include "boragehollow/platform/memory_log.hpp"
+#include "boragehollow/streams/memory_log.hpp"
 
 #include <functional>
 #include <string>
 #include <utility>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 /// Client of the platform's log service. Each call has a connection of its own, so that a failed connection
 /// attempt is known to have sent nothing.
@@ -42,4 +42,4 @@
     link_check m_link_cut;
 };
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/include/boragehollow/streams/log_client.hpp
+++ b/packages/streams/include/boragehollow/streams/log_client.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "boragehollow/platform/http_log_client.hpp"
-#include "boragehollow/platform/memory_log.hpp"
+#include "boragehollow/streams/http_log_client.hpp"
+#include "boragehollow/streams/memory_log.hpp"
 
 #include <memory>
 #include <string>
 #include <variant>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 /// Uses a log service in this process.
 struct memory_log_client {
@@ -24,4 +24,4 @@
 tl::expected<log_page, log_error> read(const log_client& client, const read_request& request,
                                        milliseconds timeout);
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/include/boragehollow/streams/log_error.hpp
+++ b/packages/streams/include/boragehollow/streams/log_error.hpp
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <string>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 enum class log_error_kind {
     unreachable, ///< The connection failed before anything was sent.
@@ -23,4 +23,4 @@
     return error.kind == log_error_kind::answer_lost || error.kind == log_error_kind::malformed;
 }
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/include/boragehollow/streams/memory_log.hpp
+++ b/packages/streams/include/boragehollow/streams/memory_log.hpp
@@ -2,7 +2,7 @@
 
 #include "boragehollow/codec/log_codec.hpp"
 #include "boragehollow/common/time.hpp"
-#include "boragehollow/platform/log_error.hpp"
+#include "boragehollow/streams/log_error.hpp"
 
 #include <tl/expected.hpp>
 
@@ -16,7 +16,7 @@
 #include <mutex>
 #include <string>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 using codec::log_page;
 using common::revision;
@@ -104,4 +104,4 @@
     bool m_closed = false;
 };
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/include/boragehollow/streams/snapshot_stream.hpp
+++ b/packages/streams/include/boragehollow/streams/snapshot_stream.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "boragehollow/codec/state_codec.hpp"
-#include "boragehollow/platform/log_client.hpp"
+#include "boragehollow/streams/log_client.hpp"
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 /// Reads the newest complete state, from the end of the stream backwards. Null when there is none.
 tl::expected<codec::snapshot_pointer, log_error>
@@ -13,4 +13,4 @@
 tl::expected<void, log_error> append_snapshot(const log_client& client, const std::string& stream,
                                               const config::config_snapshot& state, milliseconds timeout);
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/src/log_client.cpp
+++ b/packages/streams/src/log_client.cpp
@@ -1,8 +1,8 @@
-#include "boragehollow/platform/log_client.hpp"
+#include "boragehollow/streams/log_client.hpp"
 
 #include "boragehollow/common/overloaded.hpp"
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 tl::expected<revision, log_error> append(const log_client& client, const std::string& stream,
                                          const std::string& record, milliseconds timeout) {
@@ -26,4 +26,4 @@
     return std::visit(call, client);
 }
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/src/memory_log.cpp
+++ b/packages/streams/src/memory_log.cpp
@@ -1,9 +1,9 @@
-#include "boragehollow/platform/memory_log.hpp"
+#include "boragehollow/streams/memory_log.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 namespace {
 
@@ -166,4 +166,4 @@
     m_changed.notify_all();
 }
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/src/snapshot_stream.cpp
+++ b/packages/streams/src/snapshot_stream.cpp
@@ -1,9 +1,9 @@
-#include "boragehollow/platform/snapshot_stream.hpp"
+#include "boragehollow/streams/snapshot_stream.hpp"
 
 #include <algorithm>
 #include <limits>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 
 namespace {
 
@@ -69,4 +69,4 @@
     return {};
 }
 
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/tests/http_log_client_test.cpp
+++ b/packages/streams/tests/http_log_client_test.cpp
@@ -1,4 +1,4 @@
-#include "boragehollow/platform/log_client.hpp"
+#include "boragehollow/streams/log_client.hpp"
 #include "log_server.hpp"
 
 #include <civetweb.h>
@@ -7,7 +7,7 @@
 #include <array>
 #include <thread>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 namespace {
 
 using namespace std::chrono_literals;
@@ -99,4 +99,4 @@
 }
 
 } // namespace
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/streams/tests/memory_log_test.cpp
+++ b/packages/streams/tests/memory_log_test.cpp
@@ -1,11 +1,11 @@
-#include "boragehollow/platform/log_client.hpp"
-#include "boragehollow/platform/snapshot_stream.hpp"
+#include "boragehollow/streams/log_client.hpp"
+#include "boragehollow/streams/snapshot_stream.hpp"
 
 #include <gtest/gtest.h>
 
 #include <thread>
 
-namespace boragehollow::platform {
+namespace boragehollow::streams {
 namespace {
 
 using namespace std::chrono_literals;
@@ -83,4 +83,4 @@
 }
 
 } // namespace
-} // namespace boragehollow::platform
+} // namespace boragehollow::streams
--- a/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
@@ -42,6 +42,7 @@
     settings_loaded = 1101,
     settings_rejected = 1102,
     settings_baseline_active = 1103,
+    settings_reloaded = 1104,
 
     log_reader_started = 1201,
     log_reader_stopped = 1202,
@@ -66,6 +67,7 @@
     config_snapshot_refused = 1307,
     config_older_version_refused = 1308,
     config_schema_activated = 1309,
+    config_fetched_from_peer = 1310,
 
     spread_records_received = 1401,
     spread_pull_answered = 1402,
@@ -88,6 +90,9 @@
     member_role_lost = 1509,
     domain_unreachable = 1510,
     datagram_invalid = 1511,
+    member_registered = 1512,
+    member_registration_failed = 1513,
+    member_seeds_found = 1514,
 
     dispatch_no_target = 1601,
     dispatch_target_ejected = 1602,
@@ -97,6 +102,9 @@
     dispatch_retry_budget_spent = 1606,
     dispatch_call_unknown = 1607,
     dispatch_call_not_run = 1608,
+    call_ended = 1609,
+    call_without_route = 1610,
+    call_lines_suppressed = 1611,
 
     admission_queue_full = 1701,
     admission_refused_deadline = 1702,
@@ -106,6 +114,8 @@
     admission_duplicate_key = 1706,
     admission_queue_returned = 1707,
     admission_long_reclassified = 1708,
+    call_ran = 1709,
+    call_not_admitted = 1710,
 
     target_announced = 1801,
     target_draining = 1802,
@@ -114,6 +124,8 @@
     target_announcement_invalid = 1805,
     target_connect_failed = 1806,
     target_transfer_broken = 1807,
+    target_announcement_outdated = 1808,
+    target_left = 1809,
 
     operator_change_accepted = 1901,
     operator_change_rejected = 1902,
--- a/packages/telemetry/src/event_log.cpp
+++ b/packages/telemetry/src/event_log.cpp
@@ -123,7 +123,7 @@
 };
 
 log_session::log_session(event_level level) : m_state(std::make_unique<state>()) {
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c %m%n"));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
--- /dev/null
+++ b/programs/boragehollowd/document_parts.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "document_pipeline.hpp"
+
+#include "boragehollow/daemon/instance_duty.hpp"
+#include "boragehollow/daemon/membership_duty.hpp"
+#include "boragehollow/daemon/operator_front.hpp"
+#include "boragehollow/daemon/registry_duty.hpp"
+#include "boragehollow/daemon/state_duty.hpp"
+#include "boragehollow/daemon/state_source_duty.hpp"
+#include "boragehollow/daemon/timeline_duty.hpp"
+#include "boragehollow/daemon/watch_duty.hpp"
+#include "boragehollow/forwarding/forwarder.hpp"
+#include "boragehollow/platform/host_front.hpp"
+
+#include <latch>
+#include <memory>
+
+namespace boragehollow::daemon {
+
+/// Members are destroyed in the reverse order: first the sources, then the duties, then what they share.
+struct document_pipeline::parts {
+    explicit parts(settings::daemon_settings given);
+    ~parts();
+
+    // Shared by all duties.
+    settings::daemon_settings settings;
+    std::latch wired{1}; ///< Sinks wait for it, since the duties start one after the other.
+    std::shared_ptr<common::hybrid_clock> clock = std::make_shared<common::hybrid_clock>();
+    telemetry::metric_registry metrics;
+    timeline_duty timeline;
+    telemetry::event_log events;
+    std::shared_ptr<peer::link_filter> links = std::make_shared<peer::link_filter>();
+    std::atomic<bool> stopping{false};
+    common::published<config::config_snapshot> snapshot;
+    common::published<mesh_view> mesh;
+    std::shared_ptr<const membership::target_directory> directory; ///< Used by the membership thread.
+    std::map<std::string, common::endpoint> hosts;                 ///< Used by the membership thread.
+
+    // Duties.
+    std::unique_ptr<watch_duty> watch;
+    std::unique_ptr<forwarding::forwarder> forwarder;
+    std::unique_ptr<instance_duty> instance;
+    std::unique_ptr<membership_duty> membership;
+    std::unique_ptr<state_duty> state;
+    std::unique_ptr<state_source_duty> state_source;
+    std::unique_ptr<registry_duty> registry;
+
+    // Filters that run on the threads of the sources.
+    std::unique_ptr<operator_front> operators;
+    std::unique_ptr<platform::host_front> host;
+
+    // Sources.
+    std::unique_ptr<web::http_server> target_server;
+    std::unique_ptr<web::http_server> readiness_server;
+    std::unique_ptr<web::http_server> operator_server;
+};
+
+} // namespace boragehollow::daemon
--- /dev/null
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -0,0 +1,515 @@
+#include "document_pipeline.hpp"
+
+#include "document_parts.hpp"
+#include "http_sources.hpp"
+#include "translation.hpp"
+
+#include "boragehollow/codec/member_codec.hpp"
+#include "boragehollow/daemon/target_views.hpp"
+#include "boragehollow/platform/document_codec.hpp"
+#include "boragehollow/platform/document_reader.hpp"
+#include "boragehollow/platform/host_registry.hpp"
+#include "boragehollow/platform/wire_names.hpp"
+
+#include <peer.pb.h>
+
+#include <algorithm>
+#include <utility>
+
+// The one place where the duties are joined when the configuration comes as documents. Read from top to
+// bottom:
+//   configuration: store -> state_source -> state -> forwarder (routes), membership (version), watch
+//                  other daemons <-> state, when the store does not answer this daemon
+//   membership:    store -> registry -> membership <-> gossip; membership -> forwarder (targets)
+//   target:        target_server -> instance -> forwarder (gate), membership (announcement)
+//   calls:         caller -> forwarder -> daemon of the target -> its forwarder -> target
+
+namespace boragehollow::daemon {
+
+namespace {
+
+using telemetry::event_number;
+
+constexpr std::chrono::milliseconds control_wait{800};
+constexpr std::size_t state_ring = 64;
+constexpr std::size_t instance_ring = 64;
+constexpr std::size_t watch_ring_size = 64;
+constexpr std::size_t host_threads = 2;
+constexpr std::size_t operator_threads = 3;
+constexpr std::chrono::milliseconds host_silence{4'000};
+
+/// Kept below the retries that all daemons together may make in 10 s: a fifth of the calls, and a slack that
+/// does not grow with the number of daemons.
+constexpr double retry_ratio = 0.15;
+
+/// A queue longer than this is not worth its wait for callers that can come back.
+constexpr std::chrono::milliseconds longest_queue_wait{1'000};
+
+const std::string sync_path = "sync";
+const std::string document_path = "document";
+
+common::steady_time after(std::chrono::milliseconds wait) {
+    return common::steady_clock::now() + wait;
+}
+
+/// Sinks wait until all duties exist, since the duties start one after the other.
+template <class Sink>
+auto when_wired(document_pipeline::parts& all, Sink sink) {
+    return [&all, sink = std::move(sink)](auto&&... arguments) {
+        all.wired.wait();
+        return sink(std::forward<decltype(arguments)>(arguments)...);
+    };
+}
+
+/// Policy of the services, as the documents state none.
+config::service_policy document_policy() {
+    config::service_policy policy;
+    policy.retry.max_attempts = 10; // The routes state the attempts.
+    policy.retry.budget_ratio = retry_ratio;
+    policy.retry.min_per_second = 0;
+    policy.admission.queue_max_wait = longest_queue_wait;
+    policy.admission.adaptive_limit = false; // The targets state the requests that they run at once.
+    policy.ejection.consecutive_failures = 3;
+    return policy;
+}
+
+/// store -> state_source -> state -> all that use the configuration
+void join_configuration(document_pipeline::parts& all) {
+    state_sinks sinks;
+    sinks.in_force = when_wired(
+        all, [&all](const config::state_in_force& state, std::shared_ptr<const routing::route_table> routes) {
+            all.snapshot.store(state.snapshot);
+            all.forwarder->post(forwarding::configuration_changed{std::move(routes), state.limits});
+            all.membership->ring().push_until(local_version_changed{state.snapshot->version},
+                                              after(control_wait));
+            all.watch->ring().push_newest(config_changed{state.snapshot});
+        });
+    sinks.fetch = when_wired(all, [&all](const common::endpoint& peer) {
+        all.forwarder->post(forwarding::ask_peer{
+            peer, document_path, {}, control_wait, [&all](std::optional<std::string> body) {
+                if (body) {
+                    all.state->ring().try_push(document_received{std::move(*body), true});
+                }
+            }});
+    });
+    all.state = std::make_unique<state_duty>(
+        [policy = document_policy()](const std::string& text) {
+            return platform::decode_document(text, policy);
+        },
+        std::move(sinks), state_ring, all.events);
+    const platform::store_client store(*all.settings.platform.log);
+    all.state_source = std::make_unique<state_source_duty>(
+        state_source_settings{},
+        [reader = platform::document_reader(store)](const std::stop_token& stop) mutable {
+            return reader.poll(stop);
+        },
+        [&all](std::string document) {
+            all.state->ring().push_until(document_received{std::move(document), false}, after(control_wait));
+        },
+        common::random_source::from_system(), all.events);
+}
+
+/// Targets whose lists changed since the previous directory.
+forwarding::targets_changed changed_targets(const membership::target_directory* previous,
+                                            const membership::target_directory& directory) {
+    forwarding::targets_changed message;
+    for (const auto& [service, targets] : directory.services()) {
+        const auto* before = previous == nullptr ? nullptr : &previous->services();
+        const auto known = before == nullptr ? decltype(before->find(service)){} : before->find(service);
+        if (before != nullptr && known != before->end() && known->second == targets) {
+            continue;
+        }
+        message.services.push_back({service, target_views(*targets)});
+    }
+    if (previous == nullptr) {
+        return message;
+    }
+    for (const auto& [service, targets] : previous->services()) {
+        if (!directory.services().contains(service)) {
+            message.services.push_back({service, {}});
+        }
+    }
+    return message;
+}
+
+void ask_for_sync(document_pipeline::parts& all, const std::string& host, const common::endpoint& peer,
+                  const membership::sync_request& request) {
+    peer::v1::SyncRequest message;
+    codec::write_sync_request(request, message);
+    all.forwarder->post(forwarding::ask_peer{
+        peer, sync_path, message.SerializeAsString(), control_wait,
+        [&all, host, peer](std::optional<std::string> body) {
+            peer::v1::SyncReply reply;
+            if (!body || !reply.ParseFromString(*body)) {
+                return;
+            }
+            auto decoded = codec::read_sync_reply(reply);
+            if (!decoded) {
+                all.events.emit(event_number::peer_message_invalid,
+                                {{"from", host}, {"detail", codec::to_string(decoded.error())}});
+                return;
+            }
+            all.membership->ring().try_push(sync_replied{host, peer, std::move(*decoded)});
+        }});
+}
+
+/// gossip socket -> membership -> forwarder (targets); store -> registry -> membership
+void join_membership(document_pipeline::parts& all, transport::udp_socket socket) {
+    const settings::daemon_settings& settings = all.settings;
+    membership::member self = own_member(settings, socket.local(), all.forwarder->peers());
+    const common::endpoint gossip = self.gossip;
+    membership_sinks sinks;
+    sinks.sync = when_wired(
+        all, [&all](const std::string& host, const common::endpoint& peer,
+                    const membership::sync_request& request) { ask_for_sync(all, host, peer, request); });
+    sinks.directory = when_wired(all, [&all](std::shared_ptr<const membership::target_directory> directory) {
+        auto message = changed_targets(all.directory.get(), *directory);
+        if (message.services.empty() || all.forwarder->post(std::move(message))) {
+            all.directory = std::move(directory);
+        }
+    });
+    sinks.mesh = when_wired(all, [&all](std::shared_ptr<const mesh_view> mesh) {
+        all.hosts.clear();
+        for (const auto& [host, member] : mesh->hosts) {
+            all.hosts.emplace(host, member->peer);
+        }
+        all.mesh.store(std::move(mesh));
+    });
+    sinks.version_heard = when_wired(all, [&all](const std::string& host, common::revision version) {
+        const auto known = all.hosts.find(host);
+        if (known != all.hosts.end()) {
+            all.state->ring().try_push(newer_version_seen{known->second, version});
+        }
+    });
+    membership::membership_engine engine(std::move(self), settings.gossip.seeds, engine_settings_of(settings),
+                                         common::random_source::from_system(), common::steady_clock::now());
+    all.membership = std::make_unique<membership_duty>(
+        std::move(engine), std::move(socket), settings.identity.mesh, all.clock, all.links,
+        settings.rings.membership, std::move(sinks), all.events);
+    const platform::host_registry registry{platform::store_client(*settings.platform.log)};
+    all.registry = std::make_unique<registry_duty>(
+        registry_access{[registry, host = settings.identity.host, gossip](const std::stop_token& stop) {
+                            return registry.enter(host, gossip, stop);
+                        },
+                        [registry](const std::stop_token& stop) { return registry.list(stop); }},
+        when_wired(all,
+                   [&all](std::vector<common::endpoint> seeds) {
+                       all.membership->ring().push_until(seeds_found{std::move(seeds)}, after(control_wait));
+                   }),
+        common::random_source::from_system(), all.events);
+}
+
+membership::target_announcement announcement_of(const std::optional<admission::current_instance>& instance) {
+    membership::target_announcement announced;
+    if (!instance) {
+        announced.state = membership::target_state::gone;
+        return announced;
+    }
+    announced.service = instance->service;
+    announced.slots = instance->slots;
+    announced.state = instance->state == admission::target_state::ready ? membership::target_state::ready
+                                                                        : membership::target_state::draining;
+    return announced;
+}
+
+/// target_server -> instance -> forwarder and membership
+void join_target(document_pipeline::parts& all) {
+    const settings::daemon_settings& settings = all.settings;
+    admission::ledger_settings ledger;
+    ledger.service = settings.target.service.value_or("");
+    ledger.address = settings.target.address;
+    ledger.silence = settings.timing.heartbeat * settings.timing.missed_heartbeats;
+    all.instance = std::make_unique<instance_duty>(
+        std::move(ledger),
+        when_wired(all,
+                   [&all](const std::optional<admission::current_instance>& instance) {
+                       std::optional<forwarding::target_instance> local;
+                       if (instance) {
+                           local =
+                               forwarding::target_instance{instance->id, instance->address, instance->service,
+                                                           instance->slots, instance->state};
+                       }
+                       all.forwarder->post(forwarding::local_instance_changed{std::move(local)});
+                       membership::target_announcement announced = announcement_of(instance);
+                       if (all.stopping) {
+                           announced.state = membership::target_state::draining;
+                       }
+                       all.membership->ring().push_until(local_announcement_changed{std::move(announced)},
+                                                         after(control_wait));
+                   }),
+        instance_ring, all.events);
+}
+
+/// Control requests of other daemons. Called on the forwarder's thread, so nothing here waits.
+void answer_peer(document_pipeline::parts& all, const std::string& path, const std::string& body,
+                 std::function<void(std::optional<std::string>)> answer) {
+    if (path == document_path) {
+        const auto document = all.state->document();
+        answer(document ? std::optional(document->document) : std::nullopt);
+        return;
+    }
+    peer::v1::SyncRequest message;
+    const bool parsed = path == sync_path && message.ParseFromString(body);
+    auto request = parsed ? codec::read_sync_request(message)
+                          : tl::expected<membership::sync_request, codec::decode_error>();
+    if (!parsed || !request) {
+        all.events.emit(event_number::peer_message_invalid, {{"request", path}});
+        answer(std::nullopt);
+        return;
+    }
+    all.membership->ring().try_push(
+        sync_asked{std::move(*request), [answer = std::move(answer)](const membership::sync_reply& reply) {
+                       peer::v1::SyncReply encoded;
+                       codec::write_sync_reply(reply, encoded);
+                       answer(encoded.SerializeAsString());
+                   }});
+}
+
+/// caller -> forwarder -> daemon of the target -> target
+tl::expected<void, std::string> join_calls(document_pipeline::parts& all) {
+    const settings::daemon_settings& settings = all.settings;
+    forwarding::forwarder_settings forwarding;
+    forwarding.callers = settings.listeners.callers;
+    forwarding.peers = settings.listeners.peer;
+    forwarding.router.host = settings.identity.host;
+    forwarding.router.service = settings.target.service.value_or("");
+    forwarding.router.names = platform::wire_header_names();
+    forwarding.router.balancing = {settings.identity.failure_domain, settings.calls.key_window};
+    forwarding.admission = {settings.calls.longest_deadline, settings.calls.key_window};
+    forwarding.ring_size = settings.rings.dispatch;
+    forwarding::forwarder_sinks sinks;
+    sinks.peer_request = when_wired(all, [&all](const std::string& path, const std::string& body,
+                                                std::function<void(std::optional<std::string>)> answer) {
+        answer_peer(all, path, body, std::move(answer));
+    });
+    sinks.newer_config = when_wired(all, [&all](const common::endpoint& peer, common::revision version) {
+        all.state->ring().try_push(newer_version_seen{peer, version});
+    });
+    sinks.target_unreachable =
+        when_wired(all, [&all] { all.instance->ring().try_push(instance_unreachable{}); });
+    auto started = forwarding::forwarder::start(forwarding, std::move(sinks), all.events, all.metrics);
+    if (!started) {
+        return tl::unexpected(started.error());
+    }
+    all.forwarder = std::move(*started);
+    return {};
+}
+
+platform::host_front_services host_services(document_pipeline::parts& all) {
+    platform::host_front_services services;
+    services.announce = [&all](admission::instance_announcement announcement) {
+        instance_announced message{std::move(announcement), {}};
+        const auto reply = message.reply;
+        if (!all.instance->ring().try_push(instance_message(std::move(message)))) {
+            return std::optional<admission::ledger_verdict>();
+        }
+        return reply.wait_until(after(control_wait));
+    };
+    services.leave = [&all](const std::string& id) {
+        instance_left message{id, {}};
+        const auto reply = message.reply;
+        return all.instance->ring().try_push(instance_message(std::move(message))) &&
+               reply.wait_until(after(control_wait)).value_or(false);
+    };
+    services.ready = [&all] { return all.forwarder->has_configuration() && !all.stopping; };
+    services.unreadable = [&all](const std::string& detail) {
+        all.events.emit(event_number::target_announcement_invalid, {{"detail", detail}});
+    };
+    return services;
+}
+
+operator_services services_for_operators(document_pipeline::parts& all) {
+    operator_services services;
+    services.publish = [](const config::change&) -> publish_result {
+        return change_not_appended{"the configuration of this mesh is the platform's document"};
+    };
+    services.snapshot = [&all] { return all.snapshot.load(); };
+    services.progress = [&all](common::revision version) {
+        mesh_progress progress{version, {}};
+        domain_progress own{all.settings.identity.failure_domain, false, 0, 0};
+        if (const auto counts = all.membership->progress(version, after(control_wait))) {
+            own.answered = true;
+            own.members = counts->members;
+            own.in_force = counts->at_or_past;
+        }
+        progress.domains.push_back(std::move(own));
+        return progress;
+    };
+    services.timeline = [&all](std::optional<common::hybrid_time> since, std::size_t limit, bool) {
+        auto page = all.timeline.query(since, limit, after(control_wait));
+        host_timeline own{all.settings.identity.host, page.has_value(), {}};
+        if (page) {
+            own.page = std::move(*page);
+        }
+        return std::vector<host_timeline>{std::move(own)};
+    };
+    services.status = [&all] {
+        daemon_status status;
+        status.host = all.settings.identity.host;
+        status.failure_domain = all.settings.identity.failure_domain;
+        status.ready = all.forwarder->has_configuration();
+        status.stopping = all.stopping;
+        if (const auto mesh = all.mesh.load()) {
+            status.alive = mesh->count(membership::member_state::alive);
+            status.suspect = mesh->count(membership::member_state::suspect);
+            status.dead = mesh->count(membership::member_state::dead);
+        }
+        return status;
+    };
+    services.metrics = [&all] { return all.metrics.render(common::steady_clock::now()); };
+    services.watch = [&all](open_watch watch) { return all.watch->ring().try_push(std::move(watch)); };
+    return services;
+}
+
+tl::expected<std::unique_ptr<web::http_server>, std::string>
+open_front(document_pipeline::parts& all, const http_source& source, web::http_server::handler serve) {
+    return open_http(all.metrics, all.settings.limits.header_bytes, source, std::move(serve));
+}
+
+/// Readiness, the target's announcements, and operators.
+tl::expected<void, std::string> open_http_sources(document_pipeline::parts& all) {
+    const settings::listener_settings& listeners = all.settings.listeners;
+    all.host = std::make_unique<platform::host_front>(host_services(all));
+    auto opened = open_front(all, {"target", listeners.target, host_threads, host_silence},
+                             [&all](web::server_exchange& exchange) { all.host->serve_target(exchange); });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    all.target_server = std::move(*opened);
+    if (listeners.readiness) {
+        opened = open_front(all, {"readiness", *listeners.readiness, host_threads, host_silence},
+                            [&all](web::server_exchange& exchange) { all.host->serve_readiness(exchange); });
+        if (!opened) {
+            return tl::unexpected(opened.error());
+        }
+        all.readiness_server = std::move(*opened);
+    }
+    operator_front_settings front_settings;
+    front_settings.max_body_bytes = all.settings.limits.operator_body_bytes;
+    all.operators = std::make_unique<operator_front>(front_settings, services_for_operators(all), all.events);
+    opened = open_front(all, {"operators", listeners.operators, operator_threads, operator_silence},
+                        [&all](web::server_exchange& exchange) { all.operators->serve(exchange); });
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    all.operator_server = std::move(*opened);
+    return {};
+}
+
+} // namespace
+
+document_pipeline::parts::parts(settings::daemon_settings given)
+    : settings(std::move(given)), timeline(settings.rings.timeline, settings.limits.timeline_events),
+      events(settings.identity.host, clock,
+             [this](telemetry::timeline_event event) { timeline.record(std::move(event)); }) {}
+
+document_pipeline::parts::~parts() {
+    if (operators) {
+        operators->stop();
+    }
+    operator_server.reset();
+    readiness_server.reset();
+    target_server.reset();
+    // A start that failed leaves the latch closed and some duties out.
+    if (!wired.try_wait()) {
+        wired.count_down();
+    }
+    const auto stop = [](auto& duty) {
+        if (duty) {
+            duty->stop();
+        }
+    };
+    stop(registry);
+    stop(state_source);
+    stop(forwarder);
+    stop(instance);
+    stop(membership);
+    stop(state);
+    stop(watch);
+    events.emit(event_number::daemon_stopped);
+}
+
+document_pipeline::document_pipeline(std::unique_ptr<parts> started) : m_parts(std::move(started)) {}
+
+document_pipeline::~document_pipeline() = default;
+
+tl::expected<std::unique_ptr<document_pipeline>, std::string>
+document_pipeline::start(const settings::daemon_settings& settings) {
+    if (!settings.platform.log) {
+        return tl::unexpected<std::string>(
+            "platform.log is required where the configuration comes as documents");
+    }
+    auto all = std::make_unique<parts>(settings);
+    all->events.emit(event_number::daemon_starting, {{"failure_domain", settings.identity.failure_domain}});
+    auto socket = transport::udp_socket::bind(settings.listeners.gossip);
+    if (!socket) {
+        return tl::unexpected("gossip listener: " + transport::to_string(socket.error()));
+    }
+    all->watch = std::make_unique<watch_duty>(watch_ring_size);
+    const auto joined = join_calls(*all);
+    if (!joined) {
+        return tl::unexpected(joined.error());
+    }
+    join_configuration(*all);
+    join_target(*all);
+    join_membership(*all, std::move(*socket));
+    all->wired.count_down();
+    const auto opened = open_http_sources(*all);
+    if (!opened) {
+        return tl::unexpected(opened.error());
+    }
+    all->events.emit(event_number::listener_opened,
+                     {{"callers", common::to_string(all->forwarder->callers())},
+                      {"peer", common::to_string(all->forwarder->peers())},
+                      {"operators", common::to_string(all->operator_server->local())}});
+    return std::unique_ptr<document_pipeline>(new document_pipeline(std::move(all)));
+}
+
+settings::listener_settings document_pipeline::listeners() const {
+    settings::listener_settings bound = m_parts->settings.listeners;
+    bound.callers = m_parts->forwarder->callers();
+    bound.peer = m_parts->forwarder->peers();
+    bound.operators = m_parts->operator_server->local();
+    bound.target = m_parts->target_server->local();
+    if (m_parts->readiness_server) {
+        bound.readiness = m_parts->readiness_server->local();
+    }
+    return bound;
+}
+
+void document_pipeline::drain() {
+    /// Two readiness checks, a second apart, have failed by then, and no caller sends new work.
+    constexpr std::chrono::milliseconds callers_turn_away{2'600};
+    /// Other daemons have heard by gossip that this one leaves.
+    constexpr std::chrono::milliseconds leave_notice{700};
+    constexpr std::chrono::milliseconds poll{50};
+    parts& all = *m_parts;
+    const common::steady_time started = common::steady_clock::now();
+    const std::chrono::milliseconds limit =
+        all.settings.calls.drain_limit.value_or(all.settings.calls.longest_deadline);
+    all.events.emit(event_number::daemon_stop_requested, {{"running", all.forwarder->open_calls()}});
+    all.stopping = true;
+    all.forwarder->begin_stop();
+    membership::target_announcement leaving;
+    leaving.service = all.settings.target.service.value_or("");
+    leaving.state = membership::target_state::draining;
+    all.membership->ring().push_until(local_announcement_changed{std::move(leaving)}, after(control_wait));
+    all.operators->stop();
+    common::bounded_ring<std::monostate> pause(1); // Never filled: a wait on a condition variable.
+    pause.pop_until(started + leave_notice);
+    all.forwarder->post(forwarding::refuse_new_work{});
+    pause.pop_until(started + callers_turn_away);
+    all.membership->ring().push_until(leave_mesh{}, after(control_wait));
+    while (all.forwarder->open_calls() > 0) {
+        const common::steady_time now = common::steady_clock::now();
+        if (now - started >= limit) {
+            all.events.emit(event_number::daemon_drain_limit_reached,
+                            {{"running", all.forwarder->open_calls()}});
+            return;
+        }
+        pause.pop_until(now + poll);
+    }
+    all.events.emit(event_number::daemon_drained, {{"duration", common::steady_clock::now() - started}});
+}
+
+} // namespace boragehollow::daemon
--- a/programs/boragehollowd/http_sources.cpp
+++ b/programs/boragehollowd/http_sources.cpp
@@ -7,7 +7,14 @@
 
 tl::expected<std::unique_ptr<web::http_server>, std::string>
 open_http(pipeline::parts& all, const http_source& source, web::http_server::handler serve) {
-    telemetry::counter& rejected = all.metrics.add_counter(
+    return open_http(all.metrics, all.settings.limits.header_bytes, source, std::move(serve));
+}
+
+tl::expected<std::unique_ptr<web::http_server>, std::string> open_http(telemetry::metric_registry& metrics,
+                                                                       std::size_t header_bytes,
+                                                                       const http_source& source,
+                                                                       web::http_server::handler serve) {
+    telemetry::counter& rejected = metrics.add_counter(
         "boragehollow_http_rejected_total",
         "Requests refused as their bytes are not valid HTTP or exceed a limit", {{"listener", source.name}});
     web::server_options options;
@@ -15,7 +22,7 @@
     options.worker_threads = static_cast<unsigned>(source.threads);
     options.read_timeout = source.longest_silence;
     options.keep_alive_timeout = std::min(options.keep_alive_timeout, source.longest_silence);
-    options.max_header_bytes = all.settings.limits.header_bytes;
+    options.max_header_bytes = header_bytes;
     options.rejected = [&rejected](int) { rejected.add(); };
     auto server = web::http_server::start(options, std::move(serve));
     if (!server) {
--- a/programs/boragehollowd/http_sources.hpp
+++ b/programs/boragehollowd/http_sources.hpp
@@ -22,6 +22,11 @@
 };
 
 /// Opens a listener and counts the requests that it refuses before `serve` sees them.
+tl::expected<std::unique_ptr<web::http_server>, std::string> open_http(telemetry::metric_registry& metrics,
+                                                                       std::size_t header_bytes,
+                                                                       const http_source& source,
+                                                                       web::http_server::handler serve);
+
 tl::expected<std::unique_ptr<web::http_server>, std::string>
 open_http(pipeline::parts& all, const http_source& source, web::http_server::handler serve);
 
--- a/programs/boragehollowd/main.cpp
+++ b/programs/boragehollowd/main.cpp
@@ -1,3 +1,4 @@
+#include "document_pipeline.hpp"
 #include "pipeline.hpp"
 
 #include "boragehollow/settings/load.hpp"
@@ -21,31 +22,57 @@
     return static_cast<boragehollow::telemetry::event_level>(level);
 }
 
-/// Blocks the stop signals in all threads that are started later; the main thread waits for them.
-sigset_t block_stop_signals() {
+/// All other entries take effect at the next start.
+void reload(const std::string& file) {
+    const auto settings = boragehollow::settings::load_settings(file);
+    if (!settings) {
+        for (const auto& fault : settings.error()) {
+            std::cerr << boragehollow::settings::to_string(fault, file) << '\n';
+        }
+        return;
+    }
+    boragehollow::telemetry::log_session::set_level(level_of(settings->logging.level));
+}
+
+/// Blocks the signals in all threads that are started later; the main thread waits for them.
+sigset_t block_signals() {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
 }
 
-int serve(const boragehollow::settings::daemon_settings& settings) {
-    const sigset_t signals = block_stop_signals();
-    const boragehollow::telemetry::log_session log(level_of(settings.logging.level));
-    auto pipeline = boragehollow::daemon::pipeline::start(settings);
+/// Runs until a stop signal comes. SIGHUP reads the settings file again and puts the log level in force.
+template <class Pipeline>
+int serve_with(const boragehollow::settings::daemon_settings& settings, const std::string& file,
+               const sigset_t& signals) {
+    auto pipeline = Pipeline::start(settings);
     if (!pipeline) {
         std::cerr << "boragehollowd: " << pipeline.error() << '\n';
         return exit_failed;
     }
     int signal = 0;
-    sigwait(&signals, &signal);
+    while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
+        reload(file);
+    }
     (*pipeline)->drain();
     return 0;
 }
 
+int serve(const boragehollow::settings::daemon_settings& settings, const std::string& file) {
+    using boragehollow::settings::configuration_source;
+    const sigset_t signals = block_signals();
+    const boragehollow::telemetry::log_session log(level_of(settings.logging.level));
+    if (settings.platform.configuration == configuration_source::documents) {
+        return serve_with<boragehollow::daemon::document_pipeline>(settings, file, signals);
+    }
+    return serve_with<boragehollow::daemon::pipeline>(settings, file, signals);
+}
+
 int run(int argc, char** argv) {
     std::string file;
     options::options_description description("boragehollowd: daemon of the boragehollow service mesh");
@@ -73,7 +100,7 @@
         }
         return exit_usage;
     }
-    return serve(*settings);
+    return serve(*settings, file);
 }
 
 } // namespace
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -308,7 +308,7 @@
 
 /// The sources of calls, announcements and operators' requests.
 tl::expected<void, std::string> open_http_sources(pipeline::parts& all) {
-    const auto& [callers, operators, peer, gossip, target] = all.settings.listeners;
+    const auto& [callers, operators, peer, gossip, target, readiness] = all.settings.listeners;
     const settings::limit_settings& limits = all.settings.limits;
     auto opened = open_http(all, {"target", target, limits.target_threads, target_silence},
                             counted(all, "target", [&all](web::server_exchange& exchange) {
@@ -393,8 +393,9 @@
 }
 
 settings::listener_settings pipeline::listeners() const {
-    return {m_parts->caller_server->local(), m_parts->operator_server->local(), m_parts->peer_server->local(),
-            m_parts->gossip, m_parts->target_server->local()};
+    return {m_parts->caller_server->local(), m_parts->operator_server->local(),
+            m_parts->peer_server->local(),   m_parts->gossip,
+            m_parts->target_server->local(), std::nullopt};
 }
 
 void pipeline::drain() {
--- a/programs/boragehollowd/translation.cpp
+++ b/programs/boragehollowd/translation.cpp
@@ -4,12 +4,12 @@
 
 namespace boragehollow::daemon {
 
-platform::log_client make_log_client(const pipeline::parts& all) {
+streams::log_client make_log_client(const pipeline::parts& all) {
     const settings::daemon_settings& settings = all.settings;
     if (!settings.platform.log) {
-        return platform::memory_log_client{std::make_shared<platform::memory_log>(), settings.identity.host};
+        return streams::memory_log_client{std::make_shared<streams::memory_log>(), settings.identity.host};
     }
-    return platform::http_log_client(
+    return streams::http_log_client(
         *settings.platform.log, settings.identity.host,
         [links = all.links](const common::endpoint& to) { return links->blocked(to); });
 }
--- a/programs/boragehollowd/translation.hpp
+++ b/programs/boragehollowd/translation.hpp
@@ -6,7 +6,7 @@
 namespace boragehollow::daemon {
 
 /// Client of the platform log; without an endpoint in the settings, a log in memory for a daemon on its own.
-platform::log_client make_log_client(const pipeline::parts& all);
+streams::log_client make_log_client(const pipeline::parts& all);
 
 /// Peers and roles as the spreading engine needs them.
 spreading::peer_view peers_for_spreading(const mesh_view& mesh, const settings::baseline_settings& baseline);
--- a/standins/platform_log/log_server.cpp
+++ b/standins/platform_log/log_server.cpp
@@ -9,12 +9,12 @@
 #include <chrono>
 #include <optional>
 
-namespace boragehollow::platform_log {
+namespace boragehollow::streams_log {
 
 namespace {
 
-using platform::log_error;
-using platform::log_error_kind;
+using streams::log_error;
+using streams::log_error_kind;
 
 constexpr long long max_record_bytes = 8LL * 1024 * 1024;
 
@@ -73,7 +73,7 @@
 }
 
 int handle(mg_connection* connection, void* data) {
-    platform::memory_log& log = *static_cast<platform::memory_log*>(data);
+    streams::memory_log& log = *static_cast<streams::memory_log*>(data);
     const mg_request_info& info = *mg_get_request_info(connection);
     const std::string client = client_of(connection, info);
     const auto run = common::overloaded{
@@ -117,7 +117,7 @@
 } // namespace
 
 tl::expected<std::unique_ptr<log_server>, std::string>
-log_server::start(const common::endpoint& listen, std::shared_ptr<platform::memory_log> log) {
+log_server::start(const common::endpoint& listen, std::shared_ptr<streams::memory_log> log) {
     const std::string port = common::to_string(listen);
     // Each waiting read holds a worker thread, and every failure domain has two readers.
     const std::array<const char*, 9> options{
@@ -145,4 +145,4 @@
     }
 }
 
-} // namespace boragehollow::platform_log
+} // namespace boragehollow::streams_log
--- a/standins/platform_log/main.cpp
+++ b/standins/platform_log/main.cpp
@@ -12,7 +12,7 @@
 
 struct arguments {
     std::string listen;
-    platform::memory_log_settings settings;
+    streams::memory_log_settings settings;
 };
 
 tl::expected<arguments, std::string> parse(int count, char** values) {
@@ -68,7 +68,7 @@
     sigaddset(&stop_signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &stop_signals, nullptr);
     const auto server = boragehollow::platform_log::log_server::start(
-        *listen, std::make_shared<platform::memory_log>(parsed->settings));
+        *listen, std::make_shared<streams::memory_log>(parsed->settings));
     if (!server) {
         return fail(server.error());
     }
--- a/standins/platform_log/requests.cpp
+++ b/standins/platform_log/requests.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <optional>
 
-namespace boragehollow::platform_log {
+namespace boragehollow::streams_log {
 
 namespace {
 
@@ -26,7 +26,7 @@
 }
 
 call parse_read(const std::string& stream, std::string_view query) {
-    platform::read_request request{stream, platform::revision{1}, 1'024, milliseconds(0)};
+    streams::read_request request{stream, streams::revision{1}, 1'024, milliseconds(0)};
     while (!query.empty()) {
         const std::string_view item = query.substr(0, query.find('&'));
         query.remove_prefix(std::min(query.size(), item.size() + 1));
@@ -38,7 +38,7 @@
         }
         const std::string_view name = item.substr(0, equals);
         if (name == "from") {
-            request.from = platform::revision{std::max<std::uint64_t>(1, *number)};
+            request.from = streams::revision{std::max<std::uint64_t>(1, *number)};
         } else if (name == "max") {
             request.max_records = std::max<std::size_t>(1, *number);
         } else if (name == "wait_ms") {
@@ -48,7 +48,7 @@
     return read_call{std::move(request)};
 }
 
-nlohmann::json to_json(const std::map<std::string, platform::log_counters>& table) {
+nlohmann::json to_json(const std::map<std::string, streams::log_counters>& table) {
     nlohmann::json result = nlohmann::json::object();
     for (const auto& [name, counters] : table) {
         result[name] = {{"reads", counters.reads},
@@ -82,8 +82,8 @@
     return method == "GET" ? parse_read(stream, query) : call(bad_call{405, "use GET or POST"});
 }
 
-tl::expected<platform::memory_log_switches, std::string>
-parse_switches(std::string_view body, platform::memory_log_switches current) {
+tl::expected<streams::memory_log_switches, std::string> parse_switches(std::string_view body,
+                                                                       streams::memory_log_switches current) {
     const auto object = nlohmann::json::parse(body, nullptr, false);
     if (!object.is_object()) {
         return tl::unexpected(std::string("the body is not a JSON object"));
@@ -102,9 +102,9 @@
     return current;
 }
 
-std::string counters_json(const platform::all_log_counters& counters) {
+std::string counters_json(const streams::all_log_counters& counters) {
     return nlohmann::json{{"streams", to_json(counters.by_stream)}, {"clients", to_json(counters.by_client)}}
         .dump();
 }
 
-} // namespace boragehollow::platform_log
+} // namespace boragehollow::streams_log
--- a/standins/platform_log/requests.hpp
+++ b/standins/platform_log/requests.hpp
@@ -1,20 +1,20 @@
 #pragma once
 
-#include "boragehollow/platform/memory_log.hpp"
+#include "boragehollow/streams/memory_log.hpp"
 
 #include <string>
 #include <string_view>
 #include <variant>
 
 /// Requests of the log service's HTTP interface, parsed.
-namespace boragehollow::platform_log {
+namespace boragehollow::streams_log {
 
 struct append_call {
     std::string stream;
 };
 
 struct read_call {
-    platform::read_request request;
+    streams::read_request request;
 };
 
 struct switches_call {};
@@ -31,9 +31,9 @@
 call parse_call(std::string_view method, std::string_view path, std::string_view query);
 
 /// Takes over the members that the JSON object has; an error says what is wrong.
-tl::expected<platform::memory_log_switches, std::string>
-parse_switches(std::string_view body, platform::memory_log_switches current);
+tl::expected<streams::memory_log_switches, std::string> parse_switches(std::string_view body,
+                                                                       streams::memory_log_switches current);
 
-std::string counters_json(const platform::all_log_counters& counters);
+std::string counters_json(const streams::all_log_counters& counters);
 
-} // namespace boragehollow::platform_log
+} // namespace boragehollow::streams_log
