Bound retries in every sliding window and stop accepting before the daemon ends

Ruled out: retries of refusals by daemons (they reach no target); a slow drain of the targets. Change: token_budget counts calls and retries in slices of 1 s over 10 s; the ratio is 0.09. After 2.9 s the daemon closes its caller listener, finishes what it has read, and ends without joining idle workers.

--- a/packages/balancing/src/token_budget.cpp
+++ b/packages/balancing/src/token_budget.cpp
@@ -1,53 +1,47 @@
 #include "boragehollow/balancing/token_budget.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 namespace boragehollow::balancing {
 
-namespace {
-
-constexpr double fade_seconds = 10.0;
-
-} // namespace
-
 void token_budget::set_policy(double ratio, double min_per_second) {
     m_ratio = ratio;
     m_min_per_second = min_per_second;
-    m_time_tokens = std::min(m_time_tokens, min_per_second);
 }
 
-void token_budget::refresh(steady_time now) {
-    if (!m_started) {
-        m_started = true;
-        m_refreshed = now;
-        m_time_tokens = m_min_per_second;
-        return;
+token_budget::slice& token_budget::current(steady_time now) {
+    constexpr auto slice_length = std::chrono::duration_cast<std::chrono::milliseconds>(window) / slice_count;
+    const std::int64_t number = now.time_since_epoch() / slice_length;
+    // Slices that have left the window are emptied, at most all of them.
+    const std::int64_t passed =
+        std::clamp<std::int64_t>(number - m_newest, 0, static_cast<std::int64_t>(slice_count));
+    for (std::int64_t i = 0; i < passed; ++i) {
+        m_slices.at(static_cast<std::size_t>(number - i) % slice_count) = {};
     }
-    const double seconds = std::chrono::duration<double>(now - m_refreshed).count();
-    if (seconds <= 0) {
-        return;
-    }
-    m_refreshed = now;
-    m_call_tokens *= std::exp(-seconds / fade_seconds);
-    // At most one second's worth, so that an idle service cannot save up for a burst.
-    m_time_tokens = std::min(m_min_per_second, m_time_tokens + seconds * m_min_per_second);
+    m_newest = std::max(m_newest, number);
+    return m_slices.at(static_cast<std::size_t>(m_newest) % slice_count);
 }
 
 void token_budget::add_call(steady_time now) {
-    refresh(now);
-    m_call_tokens += m_ratio;
+    ++current(now).calls;
 }
 
 bool token_budget::try_take(steady_time now) {
-    refresh(now);
-    for (double* tokens : {&m_time_tokens, &m_call_tokens}) {
-        if (*tokens >= 1.0) {
-            *tokens -= 1.0;
-            return true;
-        }
+    slice& newest = current(now);
+    std::uint64_t calls = 0;
+    std::uint64_t taken = 0;
+    for (const slice& each : m_slices) {
+        calls += each.calls;
+        taken += each.taken;
+    }
+    const double by_calls = m_ratio * static_cast<double>(calls);
+    // The minimum is for each second, so that an idle service cannot save up for a burst.
+    const bool allowed = static_cast<double>(taken) + 1.0 <= by_calls ||
+                         static_cast<double>(newest.taken) + 1.0 <= m_min_per_second;
+    if (allowed) {
+        ++newest.taken;
     }
-    return false;
+    return allowed;
 }
 
 } // namespace boragehollow::balancing
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -52,8 +52,11 @@
 /// The target on this host takes no more calls.
 struct refuse_new_work {};
 
-using forwarder_message =
-    std::variant<configuration_changed, targets_changed, local_instance_changed, ask_peer, refuse_new_work>;
+/// No more connections of callers are accepted, and those without an open request end.
+struct stop_accepting {};
+
+using forwarder_message = std::variant<configuration_changed, targets_changed, local_instance_changed,
+                                       ask_peer, refuse_new_work, stop_accepting>;
 
 /// Answers a control request of another daemon. `answer` may be called later and from any thread, once, with
 /// the body of the response or nothing.
@@ -96,8 +99,8 @@
 
     /// From now on each response to a caller ends its connection.
     void begin_stop() { m_stopping = true; }
-    /// Calls of callers and calls at the local target.
-    std::size_t open_calls() const { return m_open_calls; }
+    /// Calls of callers, until their response is written, and calls at the local target.
+    std::size_t open_calls() const { return m_open_calls + m_unwritten; }
     bool has_configuration() const { return m_has_configuration; }
 
     /// Ends the thread.
@@ -124,6 +127,7 @@
     void handle(local_instance_changed& message);
     void handle(ask_peer& message);
     void handle(const refuse_new_work& message);
+    void handle(const stop_accepting& message);
 
     forwarder_settings m_settings;
     forwarder_sinks m_sinks;
@@ -134,6 +138,7 @@
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_has_configuration{false};
     std::atomic<std::size_t> m_open_calls{0};
+    std::atomic<std::size_t> m_unwritten{0}; ///< Responses to callers that are not written yet.
     config::caller_limits m_limits;
     local_target m_target;
     call_router m_router;
--- a/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
@@ -23,6 +23,8 @@
     std::function<config::caller_limits()> limits;
     /// True while the daemon stops: each response then ends its connection.
     std::function<bool()> stopping;
+    /// Told how many more, or fewer, responses are owed to the client.
+    std::function<void(int difference)> pending_changed;
 };
 
 /// One connection of a client. Requests that arrive behind others are read at once, and the responses go out
@@ -30,6 +32,10 @@
 class http_session : public std::enable_shared_from_this<http_session> {
 public:
     http_session(tcp::socket socket, std::shared_ptr<const session_services> services);
+    ~http_session();
+
+    http_session(const http_session&) = delete;
+    http_session& operator=(const http_session&) = delete;
 
     void start();
 
@@ -54,6 +60,7 @@
     void accept_request(request_message request);
     void refuse_unreadable(const error_code& fault);
     void start_next();
+    void add_pending(pending_ptr pending);
     void client_left();
 
     tcp::socket m_socket;
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -133,6 +133,9 @@
     callers->may_overtake = [this](const request_message& request) { return m_router.may_overtake(request); };
     callers->limits = [this] { return m_limits; };
     callers->stopping = [this] { return m_stopping.load(); };
+    callers->pending_changed = [this](int difference) {
+        m_unwritten += static_cast<std::size_t>(difference);
+    };
 
     auto peers = std::make_shared<session_services>();
     peers->handle = [this](request_message request, cancellation_ptr cancelled) {
@@ -141,6 +144,7 @@
     peers->may_overtake = [](const request_message&) { return false; };
     peers->limits = [this] { return peer_limits(m_limits); };
     peers->stopping = [] { return false; };
+    peers->pending_changed = [](int) {};
 
     asio::co_spawn(m_context, accept(m_caller_acceptor, callers), asio::detached);
     asio::co_spawn(m_context, accept(m_peer_acceptor, peers), asio::detached);
@@ -154,6 +158,9 @@
         tcp::socket socket(m_context);
         error_code failed;
         co_await acceptor.async_accept(socket, result_in(failed));
+        if (!acceptor.is_open()) {
+            co_return;
+        }
         if (failed) {
             asio::steady_timer pause(m_context, accept_pause);
             co_await pause.async_wait(result_in(failed));
@@ -283,4 +290,12 @@
     m_target.start_drain();
 }
 
+void forwarder::handle(const stop_accepting&) {
+    error_code ignored;
+    m_caller_acceptor.close(ignored);
+    for (const std::shared_ptr<http_session>& session : m_sessions) {
+        session->close_if_idle();
+    }
+}
+
 } // namespace boragehollow::forwarding
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -61,6 +61,15 @@
     m_changed.expires_at(common::steady_time::max());
 }
 
+http_session::~http_session() {
+    m_services->pending_changed(-static_cast<int>(m_pending.size()));
+}
+
+void http_session::add_pending(pending_ptr pending) {
+    m_pending.push_back(std::move(pending));
+    m_services->pending_changed(1);
+}
+
 void http_session::start() {
     set_liveness_options(m_socket);
     auto self = shared_from_this();
@@ -152,7 +161,7 @@
     pending->keep_alive = pending->request.keep_alive();
     pending->head = pending->request.method() == http::verb::head;
     m_last_response = !pending->keep_alive;
-    m_pending.push_back(pending);
+    add_pending(pending);
     start_next();
     m_changed.cancel();
 }
@@ -190,7 +199,7 @@
     pending->started = true;
     pending->keep_alive = false;
     pending->response = plain_response(status_of(fault));
-    m_pending.push_back(std::move(pending));
+    add_pending(std::move(pending));
     m_changed.cancel();
 }
 
@@ -220,6 +229,7 @@
             break;
         }
         m_pending.pop_front();
+        m_services->pending_changed(-1);
         m_waiting_since = common::steady_clock::now();
         if (last) {
             // Requests behind this response are not read as far as the client is concerned.
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -38,9 +38,9 @@
 constexpr std::size_t operator_threads = 3;
 constexpr std::chrono::milliseconds host_silence{4'000};
 
-/// Kept below the retries that all daemons together may make in 10 s: a fifth of the calls, and a slack that
-/// does not grow with the number of daemons.
-constexpr double retry_ratio = 0.15;
+/// All daemons together may repeat a fifth of a service's calls. The calls of a repeated call count as
+/// repeats at the service behind it, so that each of two services in a row gets half.
+constexpr double retry_ratio = 0.09;
 
 /// A queue longer than this is not worth its wait for callers that can come back.
 constexpr std::chrono::milliseconds longest_queue_wait{1'000};
@@ -478,8 +478,9 @@
 }
 
 void document_pipeline::drain() {
-    /// Two readiness checks, a second apart, have failed by then, and no caller sends new work.
-    constexpr std::chrono::milliseconds callers_turn_away{2'600};
+    /// Two readiness checks, a second apart, have failed by then, and most callers send no new work. Those
+    /// that still do need the rest of the time for their calls.
+    constexpr std::chrono::milliseconds callers_turn_away{2'900};
     /// Other daemons have heard by gossip that this one leaves.
     constexpr std::chrono::milliseconds leave_notice{700};
     constexpr std::chrono::milliseconds poll{50};
@@ -499,7 +500,9 @@
     pause.pop_until(started + leave_notice);
     all.forwarder->post(forwarding::refuse_new_work{});
     pause.pop_until(started + callers_turn_away);
+    all.forwarder->post(forwarding::stop_accepting{});
     all.membership->ring().push_until(leave_mesh{}, after(control_wait));
+    pause.pop_until(common::steady_clock::now() + poll);
     while (all.forwarder->open_calls() > 0) {
         const common::steady_time now = common::steady_clock::now();
         if (now - started >= limit) {
--- a/programs/boragehollowd/main.cpp
+++ b/programs/boragehollowd/main.cpp
@@ -7,6 +7,7 @@
 #include <boost/program_options.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -60,7 +61,9 @@
         reload(file);
     }
     (*pipeline)->drain();
-    return 0;
+    // No state is left to write, and joining idle HTTP workers can take longer than the platform waits.
+    std::cout.flush();
+    std::quick_exit(0);
 }
 
 int serve(const boragehollow::settings::daemon_settings& settings, const std::string& file) {
--- a/standins/platform_log/log_server.cpp
+++ b/standins/platform_log/log_server.cpp
@@ -9,7 +9,7 @@
 #include <chrono>
 #include <optional>
 
-namespace boragehollow::streams_log {
+namespace boragehollow::platform_log {
 
 namespace {
 
@@ -145,4 +145,4 @@
     }
 }
 
-} // namespace boragehollow::streams_log
+} // namespace boragehollow::platform_log
--- a/standins/platform_log/log_server.hpp
+++ b/standins/platform_log/log_server.hpp
@@ -10,7 +10,7 @@
 
 struct mg_context;
 
-namespace boragehollow::streams_log {
+namespace boragehollow::platform_log {
 
 /// Serves a `memory_log` over HTTP for the life of the object.
 class log_server {
@@ -34,4 +34,4 @@
     mg_context* m_context = nullptr;
 };
 
-} // namespace boragehollow::streams_log
+} // namespace boragehollow::platform_log
--- a/standins/platform_log/main.cpp
+++ b/standins/platform_log/main.cpp
@@ -6,7 +6,7 @@
 #include <iostream>
 
 namespace options = boost::program_options;
-namespace platform = boragehollow::platform;
+namespace streams = boragehollow::streams;
 
 namespace {
 
--- a/standins/platform_log/requests.cpp
+++ b/standins/platform_log/requests.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <optional>
 
-namespace boragehollow::streams_log {
+namespace boragehollow::platform_log {
 
 namespace {
 
@@ -107,4 +107,4 @@
         .dump();
 }
 
-} // namespace boragehollow::streams_log
+} // namespace boragehollow::platform_log
--- a/standins/platform_log/requests.hpp
+++ b/standins/platform_log/requests.hpp
@@ -7,7 +7,7 @@
 #include <variant>
 
 /// Requests of the log service's HTTP interface, parsed.
-namespace boragehollow::streams_log {
+namespace boragehollow::platform_log {
 
 struct append_call {
     std::string stream;
@@ -36,4 +36,4 @@
 
 std::string counters_json(const streams::all_log_counters& counters);
 
-} // namespace boragehollow::streams_log
+} // namespace boragehollow::platform_log
