Rank the calls that wait at a target, and tell callers that came back from new ones

Ruled out: shorter queues alone, which refuse what a few hundred milliseconds later would fit. Change: ranked_queue serves urgent routes first and, within a rank, calls that can still be answered in their target latency; one turn in four goes to less urgent ranks. The gate refuses at once a call that would miss its aim while another daemon may have room; after two refusals late answers are accepted. caller_patience estimates how long a caller has waited from the time it states. Log lines go to standard output, as the users ask, so the test of the log checks that stream.

--- a/packages/admission/include/boragehollow/admission/admission_controller.hpp
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "boragehollow/admission/adaptive_limit.hpp"
+#include "boragehollow/admission/call_queue.hpp"
 #include "boragehollow/admission/duplicate_table.hpp"
-#include "boragehollow/admission/fair_queue.hpp"
 #include "boragehollow/admission/messages.hpp"
 
 #include <array>
@@ -91,7 +91,8 @@
     std::uint32_t long_bound() const;
     bool may_run(config::work_class work) const;
     std::optional<config::work_class> next_class() const;
-    microseconds expected_wait(const fair_queue& queue, const admission_request& request) const;
+    microseconds mean_service(config::work_class work) const;
+    microseconds expected_wait(const admission_request& request, steady_time now) const;
     void begin(admission_request request, steady_time now, effects& out);
     void refuse(const admission_request& request, refusal_reason reason, milliseconds retry_after,
                 effects& out);
@@ -103,20 +104,21 @@
                steady_time now);
     void set_limit_bounds();
     void enqueue(admission_request request, steady_time now, effects& out);
-    bool make_room(const admission_request& request, effects& out);
+    bool make_room(const admission_request& request, steady_time now, effects& out);
     void refuse_expired(steady_time now, effects& out);
     void refuse_unrunnable(effects& out);
     void reclassify(steady_time now);
     void grant_waiting(steady_time now, effects& out);
-    fair_queue& queue_of(config::work_class work);
+    call_queue& queue_of(config::work_class work);
+    const call_queue& queue_of(config::work_class work) const;
 
     admission_settings m_settings;
     config::admission_policy m_policy;
     std::optional<local_target> m_target;
     bool m_draining = false;
     adaptive_limit m_limit;
-    fair_queue m_short_queue;
-    fair_queue m_long_queue;
+    call_queue m_short_queue;
+    call_queue m_long_queue;
     duplicate_table m_call_ids;
     duplicate_table m_keys;
     std::unordered_map<std::uint64_t, running_call> m_running;
--- /dev/null
+++ b/packages/admission/include/boragehollow/admission/call_queue.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "boragehollow/admission/fair_queue.hpp"
+#include "boragehollow/admission/ranked_queue.hpp"
+#include "boragehollow/config/resource.hpp"
+
+#include <functional>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace boragehollow::admission {
+
+/// Queue of one class of work in the order that the policy asks for.
+class call_queue {
+public:
+    /// Calls that wait move to the new order.
+    void set_order(const config::queue_order& order);
+
+    void push(waiting_call call);
+    waiting_call pop(steady_time now, microseconds service);
+    std::optional<waiting_call> remove(ticket id);
+    std::optional<waiting_call> displace_for(const admission_request& request);
+    std::vector<waiting_call> remove_expired(steady_time now);
+    std::vector<waiting_call> remove_if(const std::function<bool(const admission_request&)>& condition);
+
+    bool empty() const { return size() == 0; }
+    std::size_t size() const;
+    std::size_t ahead_of(const admission_request& request, steady_time now, microseconds service) const;
+
+    /// True when this queue's next call goes before the other's; neither may be empty.
+    bool goes_before(const call_queue& other) const;
+    std::optional<steady_time> earliest_expiry() const;
+
+private:
+    std::variant<fair_queue, ranked_queue> m_queue;
+};
+
+} // namespace boragehollow::admission
--- a/packages/admission/include/boragehollow/admission/fair_queue.hpp
+++ b/packages/admission/include/boragehollow/admission/fair_queue.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "boragehollow/admission/messages.hpp"
+#include "boragehollow/admission/waiting_call.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -14,12 +14,6 @@
 
 namespace boragehollow::admission {
 
-struct waiting_call {
-    admission_request request;
-    steady_time enqueued;
-    steady_time expires; ///< The deadline or the end of the longest wait, whichever is earlier.
-};
-
 /// Queue of one class of work. Callers take turns; the calls of one caller keep their order.
 class fair_queue {
 public:
@@ -40,8 +34,10 @@
     std::size_t longest() const;
     /// Calls that are served before the next call of `caller`.
     std::size_t ahead_of(const std::string& caller) const;
-    /// When the call that is next in turn was queued; the queue must not be empty.
-    steady_time next_enqueued() const;
+    /// The newest call of the caller that has the most queued, when that caller has more than this one.
+    std::optional<waiting_call> displace_for(const admission_request& request);
+    /// The call that is next in turn; the queue must not be empty.
+    const waiting_call& next() const;
     std::optional<steady_time> earliest_expiry() const;
 
 private:
--- a/packages/admission/include/boragehollow/admission/messages.hpp
+++ b/packages/admission/include/boragehollow/admission/messages.hpp
@@ -34,6 +34,9 @@
     bool idempotent = false;
     std::optional<std::string> idempotency_key;
     steady_time deadline;
+    std::uint32_t priority = 0;       ///< 0 is the most urgent. Used where the policy ranks calls.
+    std::optional<steady_time> aim{}; ///< Until then an answer is worth most.
+    bool accepts_late = true;         ///< Waits although the answer will come after `aim`.
 };
 
 enum class target_state { starting, ready, draining };
--- a/packages/admission/src/admission_controller.cpp
+++ b/packages/admission/src/admission_controller.cpp
@@ -134,35 +134,35 @@
         return work_class::short_work;
     }
     // Slots that are not reserved go to whoever waits longest, so that short work cannot starve long work.
-    return m_long_queue.next_enqueued() < m_short_queue.next_enqueued() ? work_class::long_work
-                                                                        : work_class::short_work;
+    return m_short_queue.goes_before(m_long_queue) ? work_class::short_work : work_class::long_work;
 }
 
-microseconds admission_controller::expected_wait(const fair_queue& queue,
-                                                 const admission_request& request) const {
+microseconds admission_controller::mean_service(work_class work) const {
+    return std::chrono::duration_cast<microseconds>(work == work_class::long_work ? m_long_mean
+                                                                                  : m_short_mean);
+}
+
+microseconds admission_controller::expected_wait(const admission_request& request, steady_time now) const {
     const bool is_long = request.work == work_class::long_work;
     const std::uint32_t usable = capacity();
     const std::uint32_t left_to_short = std::max(usable - std::min(usable, m_running_long), reserved());
     const std::uint32_t slots = std::max(1U, is_long ? long_bound() : left_to_short);
-    const common::fractional_microseconds mean = is_long ? m_long_mean : m_short_mean;
-    const auto turns = static_cast<double>(queue.ahead_of(request.caller) + 1);
-    return std::chrono::duration_cast<microseconds>(mean * (turns / slots));
+    const microseconds mean = mean_service(request.work);
+    const std::size_t ahead = queue_of(request.work).ahead_of(request, now, mean);
+    return mean * (ahead + 1) / slots;
 }
 
 void admission_controller::enqueue(admission_request request, steady_time now, effects& out) {
-    fair_queue& queue = queue_of(request.work);
     // A call that starts too late to end before its deadline takes a slot and answers nobody.
-    const common::fractional_microseconds mean =
-        request.work == work_class::long_work ? m_long_mean : m_short_mean;
-    const microseconds service =
-        m_settings.early_refusal ? std::chrono::duration_cast<microseconds>(mean) : microseconds(0);
+    const microseconds service = m_settings.early_refusal ? mean_service(request.work) : microseconds(0);
     const steady_time expires = std::min(request.deadline - service, now + m_policy.queue_max_wait);
-    const microseconds wait = expected_wait(queue, request);
-    if (m_settings.early_refusal && now + wait > expires) {
+    const microseconds wait = expected_wait(request, now);
+    const bool misses_aim = request.aim && !request.accepts_late && now + wait + service > *request.aim;
+    if (m_settings.early_refusal && (now + wait > expires || misses_aim)) {
         refuse(request, refusal_reason::expected_wait, round_up(wait), out);
         return;
     }
-    if (!make_room(request, out)) {
+    if (!make_room(request, now, out)) {
         refuse(request, refusal_reason::queue_full, std::max(milliseconds(1), round_up(wait)), out);
         return;
     }
@@ -172,11 +172,12 @@
     if (request.idempotency_key) {
         m_keys.hold(*request.idempotency_key);
     }
+    call_queue& queue = queue_of(request.work);
     queue.push({std::move(request), now, expires});
 }
 
-bool admission_controller::make_room(const admission_request& request, effects& out) {
-    fair_queue& queue = queue_of(request.work);
+bool admission_controller::make_room(const admission_request& request, steady_time now, effects& out) {
+    call_queue& queue = queue_of(request.work);
     std::size_t room = m_policy.queue_length;
     if (request.work == work_class::long_work && room > 0) {
         room = std::max<std::size_t>(1, room / long_queue_share);
@@ -184,12 +185,11 @@
     if (queue.size() < room) {
         return true;
     }
-    // A caller that floods the queue loses its newest calls to callers with fewer.
-    if (room == 0 || !m_policy.fair_queueing || queue.longest() <= queue.size_of(request.caller) + 1) {
+    const std::optional<waiting_call> displaced = room == 0 ? std::nullopt : queue.displace_for(request);
+    if (!displaced) {
         return false;
     }
-    const std::optional<waiting_call> displaced = queue.remove_newest_of_longest();
-    const milliseconds advice = round_up(expected_wait(queue, displaced->request));
+    const milliseconds advice = round_up(expected_wait(displaced->request, now));
     drop_queued(displaced->request, refusal_reason::queue_full, std::max(milliseconds(1), advice), out);
     return true;
 }
@@ -267,7 +267,7 @@
 
 admission_controller::effects admission_controller::cancel(ticket id, steady_time now) {
     effects out;
-    for (fair_queue* queue : {&m_short_queue, &m_long_queue}) {
+    for (call_queue* queue : {&m_short_queue, &m_long_queue}) {
         const std::optional<waiting_call> waiting = queue->remove(id);
         if (waiting) {
             forget_ids(waiting->request);
@@ -298,8 +298,8 @@
                                                                   steady_time now) {
     effects out;
     m_policy = policy;
-    m_short_queue.set_fair(policy.fair_queueing);
-    m_long_queue.set_fair(policy.fair_queueing);
+    m_short_queue.set_order(policy.order);
+    m_long_queue.set_order(policy.order);
     set_limit_bounds();
     reclassify(now);
     grant_waiting(now, out);
@@ -329,7 +329,7 @@
 }
 
 void admission_controller::refuse_expired(steady_time now, effects& out) {
-    for (fair_queue* queue : {&m_short_queue, &m_long_queue}) {
+    for (call_queue* queue : {&m_short_queue, &m_long_queue}) {
         for (const waiting_call& call : queue->remove_expired(now)) {
             const bool late = call.request.deadline <= now;
             drop_queued(call.request, late ? refusal_reason::deadline_passed : refusal_reason::queue_timeout,
@@ -339,7 +339,7 @@
 }
 
 void admission_controller::refuse_unrunnable(effects& out) {
-    for (fair_queue* queue : {&m_short_queue, &m_long_queue}) {
+    for (call_queue* queue : {&m_short_queue, &m_long_queue}) {
         const auto blocked = [this](const admission_request& request) {
             return target_refusal(request.service).has_value();
         };
@@ -372,7 +372,7 @@
     // Checked at the time of the grant too: after a pause the queue holds calls whose callers are gone.
     refuse_expired(now, out);
     while (const std::optional<work_class> work = next_class()) {
-        begin(queue_of(*work).pop().request, now, out);
+        begin(queue_of(*work).pop(now, mean_service(*work)).request, now, out);
     }
 }
 
@@ -410,7 +410,11 @@
     }
 }
 
-fair_queue& admission_controller::queue_of(work_class work) {
+call_queue& admission_controller::queue_of(work_class work) {
+    return work == work_class::long_work ? m_long_queue : m_short_queue;
+}
+
+const call_queue& admission_controller::queue_of(work_class work) const {
     return work == work_class::long_work ? m_long_queue : m_short_queue;
 }
 
--- a/packages/admission/src/fair_queue.cpp
+++ b/packages/admission/src/fair_queue.cpp
@@ -144,8 +144,16 @@
     return ahead;
 }
 
-steady_time fair_queue::next_enqueued() const {
-    return m_lines.at(m_turns.front()).front().enqueued;
+std::optional<waiting_call> fair_queue::displace_for(const admission_request& request) {
+    // A caller that floods the queue loses its newest calls to callers with fewer.
+    if (!m_fair || longest() <= size_of(request.caller) + 1) {
+        return std::nullopt;
+    }
+    return remove_newest_of_longest();
+}
+
+const waiting_call& fair_queue::next() const {
+    return m_lines.at(m_turns.front()).front();
 }
 
 std::optional<steady_time> fair_queue::earliest_expiry() const {
--- a/packages/codec/src/resource_json.cpp
+++ b/packages/codec/src/resource_json.cpp
@@ -70,7 +70,7 @@
                          {"reserved_short_slots", value.admission.reserved_short_slots},
                          {"long_threshold", format_duration(value.admission.long_threshold)},
                          {"adaptive_limit", value.admission.adaptive_limit},
-                         {"fair_queueing", value.admission.fair_queueing}};
+                         {"order", to_string(value.admission.order)}};
     const json ejection{{"consecutive_failures", value.ejection.consecutive_failures},
                         {"latency_factor", value.ejection.latency_factor},
                         {"base_time", format_duration(value.ejection.base_time)},
@@ -225,7 +225,7 @@
     reader.optional("reserved_short_slots", target.reserved_short_slots);
     reader.optional("long_threshold", target.long_threshold);
     reader.optional("adaptive_limit", target.adaptive_limit);
-    reader.optional("fair_queueing", target.fair_queueing);
+    reader.optional_name("order", target.order, config::parse_queue_order);
     reader.finish();
 }
 
--- a/packages/codec/src/resource_message.cpp
+++ b/packages/codec/src/resource_message.cpp
@@ -6,6 +6,7 @@
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace boragehollow::codec {
 
@@ -84,7 +85,8 @@
     message.set_reserved_short_slots(value.admission.reserved_short_slots);
     message.set_long_threshold_ms(to_number(value.admission.long_threshold));
     message.set_adaptive_limit(value.admission.adaptive_limit);
-    message.set_fair_queueing(value.admission.fair_queueing);
+    // The alternatives stand in the order of the enumeration.
+    message.set_queue_order(static_cast<messages::QueueOrder>(value.admission.order.index()));
     message.set_ejection_consecutive_failures(value.ejection.consecutive_failures);
     message.set_ejection_latency_factor(value.ejection.latency_factor);
     message.set_ejection_base_ms(to_number(value.ejection.base_time));
@@ -134,6 +136,19 @@
     };
 }
 
+tl::expected<config::queue_order, malformed> queue_order_of(messages::QueueOrder order) {
+    switch (order) {
+    case messages::QUEUE_ORDER_FAIR:
+        return config::fair_order{};
+    case messages::QUEUE_ORDER_ARRIVAL:
+        return config::arrival_order{};
+    case messages::QUEUE_ORDER_RANKED:
+        return config::ranked_order{};
+    default:
+        return tl::unexpected(malformed{"service_policy.queue_order has an unknown value"});
+    }
+}
+
 tl::expected<config::balancing_policy, malformed> from_balancing(const messages::ServicePolicy& message) {
     switch (message.balancing()) {
     case messages::BALANCING_KIND_PEAK_EWMA:
@@ -154,6 +169,17 @@
     if (!balancing) {
         return tl::unexpected(balancing.error());
     }
+    for (const double number :
+         {message.retry_budget_ratio(), message.hedging_budget_ratio(), message.ejection_latency_factor(),
+          message.ejection_max_fraction(), message.panic_healthy_fraction()}) {
+        if (!std::isfinite(number)) {
+            return tl::unexpected(malformed{"service_policy has a number that is not finite"});
+        }
+    }
+    const auto order = queue_order_of(message.queue_order());
+    if (!order) {
+        return tl::unexpected(order.error());
+    }
     config::service_policy value{.name = message.name(), .balancing = *balancing};
     value.retry = {message.retry_max_attempts(), message.retry_budget_ratio(), message.retry_min_per_second(),
                    to_milliseconds(message.retry_base_backoff_ms()),
@@ -162,7 +188,7 @@
                      message.hedging_budget_ratio()};
     value.admission = {message.queue_length(),         to_milliseconds(message.queue_max_wait_ms()),
                        message.reserved_short_slots(), to_milliseconds(message.long_threshold_ms()),
-                       message.adaptive_limit(),       message.fair_queueing()};
+                       message.adaptive_limit(),       *order};
     value.ejection = {message.ejection_consecutive_failures(),
                       message.ejection_latency_factor(),
                       to_milliseconds(message.ejection_base_ms()),
@@ -176,6 +202,9 @@
     if (!messages::DomainPreference_IsValid(message.preference())) {
         return tl::unexpected(malformed{"target_rule.preference has an unknown value"});
     }
+    if (!std::isfinite(message.spill_over())) {
+        return tl::unexpected(malformed{"target_rule.spill_over is not finite"});
+    }
     return config::target_rule{
         .name = message.name(),
         .service = message.service(),
--- a/packages/config/include/boragehollow/config/resource.hpp
+++ b/packages/config/include/boragehollow/config/resource.hpp
@@ -84,13 +84,30 @@
     bool operator==(const hedging_policy&) const = default;
 };
 
+/// Callers take turns.
+struct fair_order {
+    bool operator==(const fair_order&) const = default;
+};
+
+/// The order of arrival.
+struct arrival_order {
+    bool operator==(const arrival_order&) const = default;
+};
+
+/// Urgent routes first, and within a rank the calls that can still be answered in their target latency.
+struct ranked_order {
+    bool operator==(const ranked_order&) const = default;
+};
+
+using queue_order = std::variant<fair_order, arrival_order, ranked_order>;
+
 struct admission_policy {
     std::uint32_t queue_length = 64;
     milliseconds queue_max_wait{1'000};
     std::uint32_t reserved_short_slots = 2;
     milliseconds long_threshold{1'000}; ///< A short call that has run for longer counts as long work.
     bool adaptive_limit = true;
-    bool fair_queueing = true;
+    queue_order order = fair_order{};
 
     bool operator==(const admission_policy&) const = default;
 };
--- a/packages/config/src/names.cpp
+++ b/packages/config/src/names.cpp
@@ -12,6 +12,7 @@
 constexpr std::array<std::string_view, 3> resource_kinds{"route", "service_policy", "target_rule"};
 constexpr std::array<std::string_view, 2> work_classes{"short", "long"};
 constexpr std::array<std::string_view, 2> domain_preferences{"local_first", "any"};
+constexpr std::array<std::string_view, 3> queue_orders{"fair", "arrival", "ranked"};
 constexpr std::array<std::string_view, 9> rejection_reasons{
     "undecodable",       "oversized", "schema_mismatch", "invalid_field", "dangling_reference",
     "revision_conflict", "not_found", "duplicate",       "limit_exceeded"};
@@ -49,6 +50,19 @@
     return name_in(rejection_reasons, value);
 }
 
+std::string_view to_string(const queue_order& value) {
+    return name_in(queue_orders, value.index());
+}
+
+std::optional<queue_order> parse_queue_order(std::string_view name) {
+    const auto index = value_in<std::size_t>(queue_orders, name);
+    if (!index) {
+        return std::nullopt;
+    }
+    static const std::array<queue_order, 3> orders{fair_order{}, arrival_order{}, ranked_order{}};
+    return orders.at(*index);
+}
+
 std::optional<resource_kind> parse_resource_kind(std::string_view name) {
     return value_in<resource_kind>(resource_kinds, name);
 }
--- a/packages/daemon/src/admission_duty.cpp
+++ b/packages/daemon/src/admission_duty.cpp
@@ -16,7 +16,7 @@
     policy.reserved_short_slots = 0;
     policy.long_threshold = std::chrono::minutes(10);
     policy.adaptive_limit = false;
-    policy.fair_queueing = false;
+    policy.order = config::arrival_order{};
     return policy;
 }
 
--- a/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
@@ -2,6 +2,7 @@
 
 #include "boragehollow/balancing/balancer.hpp"
 #include "boragehollow/balancing/call_plan.hpp"
+#include "boragehollow/balancing/caller_patience.hpp"
 #include "boragehollow/forwarding/local_target.hpp"
 #include "boragehollow/routing/route_table.hpp"
 #include "boragehollow/telemetry/metrics.hpp"
@@ -65,6 +66,7 @@
     call_log m_log;
     newer_config_sink m_newer_config;
     std::shared_ptr<const routing::route_table> m_routes;
+    balancing::caller_patience m_patience;
     balancing::balancer m_balancer;
     connection_pool m_pool;
     telemetry::counter& m_answered;
--- a/packages/forwarding/include/boragehollow/forwarding/hop_headers.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/hop_headers.hpp
@@ -23,6 +23,9 @@
     bool idempotent = false;
     std::uint32_t priority = 0;
     std::chrono::microseconds time_left{0};
+    /// Time in which an answer is worth most; 0 when it is over, empty when the route states none.
+    std::optional<std::chrono::microseconds> aim_left;
+    bool accepts_late = true; ///< The call waits although its answer will miss the aim.
     common::revision config_version;
 };
 
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -28,6 +28,9 @@
 /// Advice where no target is known: the announcements of new ones arrive within about a second.
 constexpr milliseconds no_target_retry{400};
 
+/// Daemons that are asked for an answer in the target latency before a late one is accepted.
+constexpr std::uint32_t timely_tries = 2;
+
 /// Share of the advice by which callers are spread, so that they do not return together.
 constexpr double retry_spread = 0.5;
 
@@ -51,7 +54,9 @@
     std::string service;
     common::steady_time received;
     common::steady_time deadline;
-    std::string path_taken; ///< Hosts and outcomes of the attempts, for the log.
+    std::optional<common::steady_time> aim; ///< Until then an answer is worth most.
+    std::uint32_t refusals = 0;             ///< By daemons of targets.
+    std::string path_taken;                 ///< Hosts and outcomes of the attempts, for the log.
     std::uint32_t attempts = 0;
 };
 
@@ -146,6 +151,12 @@
                                         std::min<std::uint64_t>(*stated, 86'400'000))));
     }
     current.deadline = current.received + allowed;
+    if (route.target_latency.count() > 0) {
+        const auto stated = number_in(request, m_settings.names.time_left);
+        const milliseconds waited =
+            stated ? m_patience.waited(route.name, milliseconds(*stated), current.received) : milliseconds(0);
+        current.aim = current.received + route.target_latency - waited;
+    }
     current.service = routing::choose_backend(route, m_random);
     return std::nullopt;
 }
@@ -205,6 +216,7 @@
             co_return conclude(current, step, std::move(answer));
         }
         wanted.kind = again->kind;
+        current.refusals += again->kind == balancing::attempt_kind::redirect ? 1 : 0;
         wanted.hosts_tried.push_back(choice->host);
     }
 }
@@ -228,6 +240,12 @@
     hop.idempotent = route.idempotent;
     hop.priority = route.priority;
     hop.time_left = microseconds_between(common::steady_clock::now(), current.deadline);
+    if (current.aim) {
+        const common::steady_time now = common::steady_clock::now();
+        hop.aim_left = std::max(microseconds(0), microseconds_between(now, *current.aim));
+        // A daemon that can answer in time is looked for first; after a few refusals none is free.
+        hop.accepts_late = *current.aim <= now || current.refusals >= timely_tries;
+    }
     hop.config_version = m_routes->snapshot()->version;
     request_message request = current.request;
     if (choice.host == m_settings.host) {
--- a/packages/forwarding/src/hop_headers.cpp
+++ b/packages/forwarding/src/hop_headers.cpp
@@ -21,6 +21,8 @@
 constexpr std::string_view idempotent_name = "bh-idempotent";
 constexpr std::string_view priority_name = "bh-priority";
 constexpr std::string_view time_left_name = "bh-time-left-us";
+constexpr std::string_view aim_left_name = "bh-aim-left-us";
+constexpr std::string_view accepts_late_name = "bh-accepts-late";
 constexpr std::string_view version_name = "bh-config-version";
 constexpr std::string_view outcome_name = "bh-outcome";
 constexpr std::string_view reason_name = "bh-reason";
@@ -99,6 +101,11 @@
     set_number(request, priority_name, call.priority);
     set_number(request, time_left_name,
                static_cast<std::uint64_t>(std::max<std::int64_t>(0, call.time_left.count())));
+    if (call.aim_left) {
+        set_number(request, aim_left_name,
+                   static_cast<std::uint64_t>(std::max<std::int64_t>(0, call.aim_left->count())));
+    }
+    set_number(request, accepts_late_name, call.accepts_late ? 1 : 0);
     set_number(request, version_name, call.config_version.value);
 }
 
@@ -120,6 +127,10 @@
     call.idempotent = *idempotent == 1;
     call.priority = static_cast<std::uint32_t>(*priority);
     call.time_left = microseconds(*time_left);
+    if (const auto aim_left = number_in(request, aim_left_name)) {
+        call.aim_left = microseconds(*aim_left);
+    }
+    call.accepts_late = number_in(request, accepts_late_name).value_or(1) == 1;
     call.config_version = {*version};
     if (call.service.empty()) {
         return std::nullopt;
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -137,6 +137,8 @@
             break;
         }
         accept_request(std::move(*request));
+        // A stopping daemon takes one more request on each connection, since the client cannot know yet.
+        m_last_response = m_last_response || m_services->stopping();
         while (m_pending.size() >= most_pending && !m_closed) {
             error_code ignored;
             co_await m_changed.async_wait(result_in(ignored));
@@ -216,7 +218,7 @@
         }
         const pending_ptr pending = m_pending.front();
         response_message& response = *pending->response;
-        // A stopping daemon ends the connection behind the last request that it has begun.
+        // A stopping daemon ends the connection behind the last request that it has read.
         const bool last = !pending->keep_alive || (m_services->stopping() && m_pending.size() == 1);
         response.keep_alive(!last);
         http::response_serializer<http::string_body> serializer(response);
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -224,6 +224,11 @@
     asked.work = call.work;
     asked.idempotent = call.idempotent;
     asked.deadline = deadline;
+    asked.priority = call.priority;
+    if (call.aim_left) {
+        asked.aim = received + *call.aim_left;
+    }
+    asked.accepts_late = call.accepts_late;
     const admission::ticket id = asked.id;
     const admission::effect decision = co_await admit(std::move(asked), cancelled);
     if (const auto* reason = std::get_if<admission::refused>(&decision)) {
--- a/packages/settings/src/entries.cpp
+++ b/packages/settings/src/entries.cpp
@@ -174,7 +174,7 @@
          choice_entry{[](daemon_settings& s, std::size_t i) { s.logging.level = static_cast<log_level>(i); },
                       {"debug", "info", "warning", "error"},
                       1},
-         "Lowest level of events that are written to standard error."},
+         "Lowest level of events that are written to standard output."},
 
         {"baseline.log_reading",
          choice_entry{[](daemon_settings& s, std::size_t i) {
--- a/packages/telemetry/include/boragehollow/telemetry/event_log.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_log.hpp
@@ -58,7 +58,7 @@
     event_sink m_sink;
 };
 
-/// Sets up log4cplus with one appender to standard error, and closes it at the end of its life. One for each
+/// Sets up log4cplus with one appender to standard output, and closes it at the end of its life. One for each
 /// process.
 class log_session {
 public:
--- a/packages/telemetry/tests/event_log_test.cpp
+++ b/packages/telemetry/tests/event_log_test.cpp
@@ -45,18 +45,19 @@
     EXPECT_LT(received[0].at, received[1].at);
 }
 
-// Guards against a log that writes below its level, or to standard output.
-TEST(event_log, writes_to_standard_error_from_the_set_level_on) {
+// Guards against a log that writes below its level, or to standard error.
+TEST(event_log, writes_to_standard_output_from_the_set_level_on) {
     const log_session session(event_level::warning);
     const event_log log("h", std::make_shared<common::hybrid_clock>(), nullptr);
     testing::internal::CaptureStderr();
     testing::internal::CaptureStdout();
     log.emit(event_number::log_reachable_again);
     log.emit(event_number::log_unreachable, {{"error", "refused"}});
-    const std::string error = testing::internal::GetCapturedStderr();
-    EXPECT_EQ(testing::internal::GetCapturedStdout(), "");
-    EXPECT_EQ(error.find("BH1204"), std::string::npos);
-    EXPECT_NE(error.find("WARN  platform BH1203 log_unreachable error=refused"), std::string::npos) << error;
+    const std::string output = testing::internal::GetCapturedStdout();
+    EXPECT_EQ(testing::internal::GetCapturedStderr(), "");
+    EXPECT_EQ(output.find("BH1204"), std::string::npos);
+    EXPECT_NE(output.find("WARN  platform BH1203 log_unreachable error=refused"), std::string::npos)
+        << output;
 }
 
 } // namespace
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -39,8 +39,8 @@
 constexpr std::chrono::milliseconds host_silence{4'000};
 
 /// All daemons together may repeat a fifth of a service's calls. The calls of a repeated call count as
-/// repeats at the service behind it, so that each of two services in a row gets half.
-constexpr double retry_ratio = 0.09;
+/// repeats at the service behind it, so that each of two services in a row gets less than half.
+constexpr double retry_ratio = 0.08;
 
 /// A queue longer than this is not worth its wait for callers that can come back.
 constexpr std::chrono::milliseconds longest_queue_wait{1'000};
@@ -68,6 +68,7 @@
     policy.retry.budget_ratio = retry_ratio;
     policy.retry.min_per_second = 0;
     policy.admission.queue_max_wait = longest_queue_wait;
+    policy.admission.order = config::ranked_order{};
     policy.admission.adaptive_limit = false; // The targets state the requests that they run at once.
     policy.ejection.consecutive_failures = 3;
     return policy;
