--- a/packages/balancing/src/service_balancer.cpp
+++ b/packages/balancing/src/service_balancer.cpp
@@ -253,8 +253,9 @@
         m_pool.erase(end, m_pool.end());
         return true;
     }
-    // All were tried: a retry may use one again, but a second copy beside a running one has no use.
-    return request.kind != attempt_kind::hedge;
+    // All were tried: a retry may use one again, but a second copy beside a running one has no use, and a
+    // daemon that has just refused the call would refuse it again.
+    return request.kind != attempt_kind::hedge && request.kind != attempt_kind::redirect;
 }
 
 std::span<const service_balancer::target_index> service_balancer::prefer_local(common::random_source& random,
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -160,10 +160,7 @@
                                asked.answer(answer.reply);
                                return std::move(answer.effects);
                            },
-                           [&](const seeds_found& found) {
-                               m_engine.add_seeds(found.seeds);
-                               return membership::membership_effects{};
-                           },
+                           [&](const seeds_found& found) { return m_engine.add_seeds(found.seeds, now); },
                            [&](const leave_mesh&) { return m_engine.leave(now); }},
         message);
 }
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -132,6 +132,7 @@
     forwarder_settings m_settings;
     forwarder_sinks m_sinks;
     const telemetry::event_log& m_events;
+    telemetry::metric_registry& m_metrics;
     asio::io_context m_context{1};
     common::bounded_ring<forwarder_message> m_ring;
     std::atomic<bool> m_wake_pending{false};
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -186,6 +186,13 @@
     while (true) {
         wanted.earlier_not_run = plan.certainly_not_run();
         const auto choice = m_balancer.choose(wanted, common::steady_clock::now());
+        if (!choice && wanted.kind == balancing::attempt_kind::redirect && current.aim &&
+            current.refusals < timely_tries) {
+            // Nobody can answer in the target latency, so a late answer is asked for.
+            current.refusals = timely_tries;
+            wanted.hosts_tried.clear();
+            continue;
+        }
         if (!choice) {
             current.path_taken += std::string(balancing::to_string(choice.error().reason));
             // An answer that is ready is worth more than a failure of this daemon's own.
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "boragehollow/common/scope_guard.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragehollow::forwarding {
@@ -36,9 +37,9 @@
 
 forwarder::forwarder(const forwarder_settings& settings, forwarder_sinks sinks,
                      const telemetry::event_log& events, telemetry::metric_registry& metrics)
-    : m_settings(settings), m_sinks(std::move(sinks)), m_events(events), m_ring(settings.ring_size),
-      m_target(m_context, settings.router.names, settings.admission, events,
-               [this] { m_sinks.target_unreachable(); }),
+    : m_settings(settings), m_sinks(std::move(sinks)), m_events(events), m_metrics(metrics),
+      m_ring(settings.ring_size), m_target(m_context, settings.router.names, settings.admission, events,
+                                           [this] { m_sinks.target_unreachable(); }),
       m_router(m_context, settings.router, m_target, common::random_source::from_system(), events, metrics,
                [this](const common::endpoint& peer, common::revision version) {
                    m_sinks.newer_config(peer, version);
@@ -274,6 +275,13 @@
 void forwarder::handle(targets_changed& message) {
     const common::steady_time now = common::steady_clock::now();
     for (const service_targets& service : message.services) {
+        const auto usable = std::ranges::count_if(service.targets, [](const balancing::target_view& target) {
+            return target.state == balancing::target_state::ready && !target.lost();
+        });
+        m_metrics
+            .add_gauge("boragehollow_known_targets", "Targets that take calls",
+                       {{"service", service.service}})
+            .set(usable);
         m_router.targets().update_targets(service.service, service.targets, now);
     }
 }
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -113,8 +113,9 @@
     membership_effects announce_local_target(target_announcement announcement, common::steady_time now);
     membership_effects note_local_version(common::revision applied, common::steady_time now);
 
-    /// Further gossip endpoints of other daemons, found after the start.
-    void add_seeds(const std::vector<common::endpoint>& seeds);
+    /// Further gossip endpoints of other daemons, found after the start. A few of them are pinged at once, so
+    /// that a daemon which starts beside running ones knows them within a round trip.
+    membership_effects add_seeds(const std::vector<common::endpoint>& seeds, common::steady_time now);
 
     sync_request begin_sync() const;
     sync_answer answer_sync(const sync_request& request, common::steady_time now);
--- a/packages/membership/src/membership_engine_sync.cpp
+++ b/packages/membership/src/membership_engine_sync.cpp
@@ -18,15 +18,6 @@
 
 } // namespace
 
-void membership_engine::add_seeds(const std::vector<common::endpoint>& seeds) {
-    for (const common::endpoint& seed : seeds) {
-        if (std::find(m_seeds.begin(), m_seeds.end(), seed) != m_seeds.end()) {
-            continue;
-        }
-        m_seeds.push_back(seed);
-    }
-}
-
 sync_request membership_engine::begin_sync() const {
     sync_request request;
     if (!m_has_whole_table) {
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -21,6 +21,8 @@
 // groups that start at the same time could otherwise stay apart until the next regular contact.
 constexpr std::uint64_t periods_between_unknown_seeds = 4;
 constexpr std::uint64_t first_periods = 20;
+// Some of the seeds that a daemon finds may be gone, and one that answers is enough.
+constexpr std::size_t first_contacts = 4;
 // Carries news of this domain to the others between two reconciliations.
 constexpr std::uint64_t periods_between_distant_pings = 4;
 // In a small domain few daemons reconcile with other domains, so each of them does it more often.
@@ -120,6 +122,24 @@
     send(seed, ping{++m_last_sequence, m_applied}, {*m_self}, now, effects);
 }
 
+membership_effects membership_engine::add_seeds(const std::vector<common::endpoint>& seeds,
+                                                common::steady_time now) {
+    membership_effects effects;
+    for (const common::endpoint& seed : seeds) {
+        if (std::find(m_seeds.begin(), m_seeds.end(), seed) != m_seeds.end()) {
+            continue;
+        }
+        m_seeds.push_back(seed);
+    }
+    std::vector<common::endpoint> unknown = unknown_seeds();
+    for (std::size_t i = 0; i < first_contacts && !unknown.empty() && !has_left(); ++i) {
+        const std::size_t chosen = m_random.index(unknown.size());
+        send(unknown[chosen], ping{++m_last_sequence, m_applied}, {*m_self}, now, effects);
+        unknown.erase(unknown.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+    return effects;
+}
+
 std::vector<common::endpoint> membership_engine::unknown_seeds() const {
     std::vector<common::endpoint> unknown = m_seeds;
     std::erase(unknown, m_self->gossip);
