Test the forwarder against targets that misbehave, and strip forged headers

Cause: the first run of the new test showed that a caller could send a single header of the daemons' own, which reached the target, since only a complete set was removed. Ruled out: the answers to early, extra, late and cut responses, which the same tests show as intended. Change: remove_hop_headers runs on each request of a caller. A scripted server and a raw client play extra, late, early and cut answers, a caller that leaves, smuggled requests, limits and a stop.

--- a/packages/forwarding/include/boragehollow/forwarding/hop_headers.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/hop_headers.hpp
@@ -56,6 +56,9 @@
 /// Takes the headers out of the response; empty when it is no answer of a daemon.
 std::optional<hop_report> take_hop_report(response_message& response);
 
+/// Removes the headers that only daemons set.
+void remove_hop_headers(http::fields& fields);
+
 /// Removes the headers that concern one connection only.
 void remove_connection_headers(http::fields& fields);
 
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -168,8 +168,7 @@
     }
     const config::route& route = *current.matched.route;
     remove_connection_headers(request);
-    // Only daemons set these.
-    take_hop_call(request);
+    remove_hop_headers(request);
     request.erase(beast_view(m_settings.names.expected_instance));
     request.erase(beast_view(m_settings.names.caller_service));
     current.request = std::move(request);
--- a/packages/forwarding/src/hop_headers.cpp
+++ b/packages/forwarding/src/hop_headers.cpp
@@ -53,19 +53,6 @@
     return {value.data(), value.size()};
 }
 
-/// All headers of daemons begin alike, so that new ones are removed by old daemons too.
-void remove_hop_headers(http::fields& fields) {
-    std::vector<std::string> names;
-    for (const auto& field : fields) {
-        if (beast::iequals(field.name_string().substr(0, 3), "bh-")) {
-            names.emplace_back(field.name_string().data(), field.name_string().size());
-        }
-    }
-    for (const std::string& name : names) {
-        fields.erase(beast_view(name));
-    }
-}
-
 std::optional<hop_outcome> outcome_of(std::string_view word) {
     const auto found = std::ranges::find(outcome_words, word, [](const auto& pair) { return pair.second; });
     return found == outcome_words.end() ? std::nullopt : std::optional(found->first);
@@ -91,6 +78,19 @@
     return number;
 }
 
+void remove_hop_headers(http::fields& fields) {
+    // All of them begin alike, so that new ones are removed by old daemons too.
+    std::vector<std::string> names;
+    for (const auto& field : fields) {
+        if (beast::iequals(field.name_string().substr(0, 3), "bh-")) {
+            names.emplace_back(field.name_string().data(), field.name_string().size());
+        }
+    }
+    for (const std::string& name : names) {
+        fields.erase(beast_view(name));
+    }
+}
+
 void write_hop_call(const hop_call& call, request_message& request) {
     set(request, service_name, call.service);
     set(request, caller_host_name, call.caller_host);
--- /dev/null
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -0,0 +1,334 @@
+#include "boragehollow/forwarding/forwarder.hpp"
+
+#include "scripted_peer.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+
+// One daemon's forwarder between raw callers and a target that follows a script.
+namespace boragehollow::forwarding {
+namespace {
+
+using namespace std::chrono_literals;
+using namespace testing_support;
+
+header_names test_names() {
+    return {"X-Id", "X-Left-Ms", "X-Expected", "X-Instance", "X-Signature", "X-Not-Run", "X-Caller"};
+}
+
+std::string answer(const std::string& id, const std::string& body, const std::string& more = {}) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Signature: s\r\n" + more +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string request(const std::string& method, const std::string& path, const std::string& id,
+                    const std::string& more = {}) {
+    return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id + "\r\nX-Left-Ms: 1500\r\n" +
+           more + "\r\n";
+}
+
+bool eventually(const std::function<bool()>& condition) {
+    for (int i = 0; i < 300 && !condition(); ++i) {
+        std::this_thread::sleep_for(10ms);
+    }
+    return condition();
+}
+
+class daemon_under_test {
+public:
+    explicit daemon_under_test(const common::endpoint& target)
+        : m_events("h1", std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}) {
+        forwarder_settings settings;
+        settings.callers = {"127.0.0.1", 0};
+        settings.peers = {"127.0.0.1", 0};
+        settings.router.host = "h1";
+        settings.router.service = "desk";
+        settings.router.names = test_names();
+        settings.router.balancing.failure_domain = "z";
+        forwarder_sinks sinks;
+        sinks.peer_request = [](const std::string&, const std::string&, const auto& done) {
+            done(std::nullopt);
+        };
+        sinks.newer_config = [](const common::endpoint&, common::revision) {};
+        sinks.target_unreachable = [this] { ++unreachable; };
+        m_forwarder = forwarder::start(settings, std::move(sinks), m_events, m_metrics).value();
+        configure();
+        m_forwarder->post(local_instance_changed{
+            target_instance{"i-1", target, "desk", 4, admission::target_state::ready}});
+        balancing::target_view view;
+        view.host = "h1";
+        view.failure_domain = "z";
+        view.peer = m_forwarder->peers();
+        view.slots = 4;
+        m_forwarder->post(targets_changed{{{"desk", {view}}}});
+    }
+
+    common::endpoint callers() const { return m_forwarder->callers(); }
+    forwarder& get() { return *m_forwarder; }
+
+    std::atomic<int> unreachable{0};
+
+private:
+    void configure() {
+        config::numbered_state state;
+        state.version = {1};
+        config::service_policy policy{.name = "desk"};
+        policy.admission.order = config::ranked_order{};
+        policy.admission.adaptive_limit = false;
+        state.services = {policy};
+        config::route safe{.name = "safe", .host = "a.example", .path_prefix = "/safe", .service = "desk"};
+        safe.idempotent = true;
+        safe.deadline = 1s;
+        safe.attempts = 1;
+        config::route order = safe;
+        order.name = "order";
+        order.path_prefix = "/order";
+        order.idempotent = false;
+        state.routes = {safe, order};
+        state.limits.header_bytes = 4096;
+        state.limits.body_bytes = 100'000;
+        const auto in_force = config::put_in_force(state).value();
+        m_forwarder->post(configuration_changed{
+            std::make_shared<const routing::route_table>(routing::route_table::build(in_force.snapshot)),
+            in_force.limits});
+    }
+
+    telemetry::event_log m_events;
+    telemetry::metric_registry m_metrics;
+    std::unique_ptr<forwarder> m_forwarder;
+};
+
+// Guards against responses that leave in the order of their completion instead of that of their requests.
+TEST(Forwarder, AnswersPipelinedRequestsInTheirOrder) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        std::this_thread::sleep_for(id == "1" ? 150ms : 5ms);
+        send(socket, answer(id, "body-" + id));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    caller.write(request("GET", "/safe/a", "1") + request("GET", "/safe/b", "2") +
+                 request("GET", "/safe/c", "3"));
+    for (const char* id : {"1", "2", "3"}) {
+        const std::string response = caller.read();
+        EXPECT_EQ(header(response, "X-Id"), id);
+        EXPECT_TRUE(response.ends_with(std::string("body-") + id));
+    }
+}
+
+// Guards against the bytes behind a complete answer, or a second answer, that reach another request.
+TEST(Forwarder, KeepsExtraAnswersFromOtherRequests) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        send(socket, answer(id, "own-" + id) + answer("stray", "stray"));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    for (int i = 0; i < 20; ++i) {
+        raw_client caller(daemon.callers());
+        const std::string id = "e" + std::to_string(i);
+        caller.write(request("GET", "/safe/a", id));
+        EXPECT_TRUE(caller.read().ends_with("own-" + id));
+    }
+}
+
+// Guards against an answer of an earlier request that arrives where the next one is expected.
+TEST(Forwarder, DropsALateAnswerOfAnotherRequest) {
+    std::atomic<int> served{0};
+    scripted_server target([&served](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        if (served++ == 1) {
+            send(socket, answer("earlier", "wrong"));
+        }
+        send(socket, answer(id, "own-" + id));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    for (const char* id : {"a", "b", "c"}) {
+        caller.write(request("GET", "/safe/a", id));
+        EXPECT_TRUE(caller.read().ends_with(std::string("own-") + id));
+    }
+}
+
+// Guards against an answer that is cut short and looks complete, with a length or without one.
+TEST(Forwarder, NeverPassesOnAnAnswerThatIsCutShort) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        if (id == "length") {
+            send(socket, "HTTP/1.1 200 OK\r\nX-Id: length\r\nContent-Length: 100\r\n\r\npart");
+        } else {
+            send(socket, "HTTP/1.1 200 OK\r\nX-Id: reset\r\n\r\npart");
+            // Without lingering, and closed before its destruction, the socket resets the connection.
+            socket.set_option(asio::socket_base::linger(true, 0));
+            socket.close();
+        }
+        return false;
+    });
+    daemon_under_test daemon(target.address());
+    for (const char* id : {"length", "reset"}) {
+        raw_client caller(daemon.callers());
+        caller.write(request("POST", "/order/a", id, "Content-Length: 0\r\n"));
+        EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 502")) << id;
+    }
+}
+
+// Guards against a target that goes on working for a caller that has left.
+TEST(Forwarder, EndsTheWorkOfACallerThatLeft) {
+    std::atomic<bool> closed{false};
+    scripted_server target([&closed](tcp::socket& socket, const std::string&) {
+        char byte = 0;
+        error_code failed;
+        asio::read(socket, asio::buffer(&byte, 1), failed);
+        closed = failed.failed();
+        return false;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    caller.write(request("GET", "/safe/a", "left"));
+    std::this_thread::sleep_for(50ms);
+    EXPECT_FALSE(closed);
+    caller.close();
+    EXPECT_TRUE(eventually([&closed] { return closed.load(); }));
+}
+
+// Guards against a request inside another one, and against limits that are not kept.
+TEST(Forwarder, RefusesWhatIsNoRequest) {
+    std::atomic<int> served{0};
+    scripted_server target([&served](tcp::socket& socket, const std::string& head) {
+        ++served;
+        send(socket, answer(header(head, "X-Id"), ""));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    const auto status = [&daemon](const std::string& bytes) {
+        raw_client caller(daemon.callers());
+        caller.write(bytes);
+        return caller.read().substr(0, 12);
+    };
+    EXPECT_EQ(status("nonsense\r\n\r\n"), "HTTP/1.1 400");
+    EXPECT_EQ(status(request("POST", "/order/a", "x", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") +
+                     "0\r\n\r\n" + request("GET", "/safe/smuggled", "y")),
+              "HTTP/1.1 400");
+    EXPECT_EQ(status(request("GET", "/safe/a", "x", "Big: " + std::string(8'000, 'b') + "\r\n")),
+              "HTTP/1.1 431");
+    EXPECT_EQ(status(request("POST", "/order/a", "x", "Content-Length: 200000\r\n")), "HTTP/1.1 413");
+    EXPECT_EQ(served, 0);
+}
+
+// Guards against a target that is given more time than its caller has, and against headers that callers
+// forge.
+TEST(Forwarder, TellsTheTargetWhatIsLeftAndWhoCalls) {
+    std::mutex mutex;
+    std::string seen;
+    scripted_server target([&](tcp::socket& socket, const std::string& head) {
+        const std::lock_guard lock(mutex);
+        seen = head;
+        send(socket, answer(header(head, "X-Id"), ""));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    caller.write(
+        request("GET", "/safe/a?b=c", "h",
+                "X-Caller: forged\r\nX-Expected: forged\r\nbh-service: forged\r\nX-Other: kept\r\n"));
+    caller.read();
+    const std::lock_guard lock(mutex);
+    EXPECT_TRUE(seen.starts_with("GET /safe/a?b=c HTTP/1.1"));
+    EXPECT_LE(std::stoi(header(seen, "X-Left-Ms")), 1000);
+    EXPECT_GT(std::stoi(header(seen, "X-Left-Ms")), 500);
+    EXPECT_EQ(header(seen, "X-Caller"), "desk");
+    EXPECT_EQ(header(seen, "X-Expected"), "i-1");
+    EXPECT_EQ(header(seen, "X-Other"), "kept");
+    EXPECT_EQ(seen.find("bh-"), std::string::npos);
+}
+
+// Guards against other bytes in the place of a long body that the target reads only after its answer.
+TEST(Forwarder, SendsTheWholeBodyToATargetThatAnswersEarly) {
+    constexpr std::size_t body_size = 90'000;
+    std::mutex mutex;
+    std::vector<std::string> heads;
+    scripted_server target([&](tcp::socket& socket, const std::string& head) {
+        const std::lock_guard lock(mutex);
+        heads.push_back(head);
+        const std::string id = std::to_string(heads.size());
+        send(socket, answer(id, "early-" + id));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    for (const char* id : {"1", "2"}) {
+        raw_client caller(daemon.callers());
+        caller.write(
+            request("POST", "/order/a", id, "Content-Length: " + std::to_string(body_size) + "\r\n") +
+            std::string(body_size, 'z'));
+        EXPECT_TRUE(caller.read().ends_with(std::string("early-") + id));
+    }
+    const std::lock_guard lock(mutex);
+    ASSERT_EQ(heads.size(), 2U);
+    // On the same connection the whole first body stands in front of the second request, on another one
+    // nothing.
+    const std::size_t second = heads[1].find("POST");
+    EXPECT_TRUE(second == 0 || heads[1].substr(0, second) == std::string(body_size, 'z'));
+}
+
+// Guards against a call that waits for its deadline although nobody listens, and against "not run" that is
+// untrue.
+TEST(Forwarder, RefusesAtOnceWhatItsTargetCannotTake) {
+    common::endpoint nobody;
+    {
+        asio::io_context context;
+        const tcp::acceptor closed(context, {asio::ip::make_address("127.0.0.1"), 0});
+        nobody = {"127.0.0.1", closed.local_endpoint().port()};
+    }
+    daemon_under_test daemon(nobody);
+    raw_client caller(daemon.callers());
+    const auto begun = std::chrono::steady_clock::now();
+    caller.write(request("POST", "/order/a", "n", "Content-Length: 0\r\n"));
+    const std::string response = caller.read();
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503")) << response;
+    EXPECT_FALSE(header(response, "Retry-After").empty());
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 500ms);
+    EXPECT_GE(daemon.unreachable, 1);
+}
+
+// Guards against an answer that never comes when the target is silent past the deadline.
+TEST(Forwarder, AnswersAtTheRoutesTimeout) {
+    scripted_server target([](tcp::socket&, const std::string&) {
+        std::this_thread::sleep_for(2s);
+        return false;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    const auto begun = std::chrono::steady_clock::now();
+    caller.write(request("POST", "/order/a", "t", "Content-Length: 0\r\n"));
+    EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 504"));
+    EXPECT_LT(std::chrono::steady_clock::now() - begun, 1500ms);
+}
+
+// Guards against a stopping daemon that a busy connection keeps taking calls from.
+TEST(Forwarder, TakesOneMoreRequestOnEachConnectionWhileItStops) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        send(socket, answer(header(head, "X-Id"), "ok"));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    caller.write(request("GET", "/safe/a", "1"));
+    EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200"));
+    daemon.get().begin_stop();
+    caller.write(request("GET", "/safe/a", "2"));
+    const std::string last = caller.read();
+    EXPECT_TRUE(last.starts_with("HTTP/1.1 200"));
+    EXPECT_EQ(header(last, "Connection"), "close");
+    EXPECT_TRUE(caller.read().empty());
+}
+
+} // namespace
+} // namespace boragehollow::forwarding
