Ignore late announcements of a target that left before it was known; write the log on its own thread

Change: the ledger keeps an end whose incarnation it did not know, learns the incarnation from the first late announcement, and reads it from the end where it is stated. Lines of the log go through a bounded ring to a thread of their own, are written in batches, and dropped lines are counted.

--- a/packages/admission/include/boragehollow/admission/instance_ledger.hpp
+++ b/packages/admission/include/boragehollow/admission/instance_ledger.hpp
@@ -64,8 +64,9 @@
 
     ledger_verdict announce(const instance_announcement& announcement, steady_time now);
 
-    /// The incarnation said that it ends; true when it was the current one.
-    bool leave(const std::string& id, steady_time now);
+    /// The incarnation said that it ends; true when it was the current one. `incarnation` is 0 when it was
+    /// not said.
+    bool leave(const std::string& id, std::uint64_t incarnation);
 
     /// The target refused a connection or showed another identity; true when that changes what is known. The
     /// next announcement brings it back.
@@ -83,11 +84,18 @@
         bool reachable = true;
     };
 
-    bool is_outdated(const instance_announcement& announcement) const;
+    struct ended_instance {
+        std::uint64_t incarnation = 0;
+        /// It left before this daemon had heard which incarnation it was.
+        bool incarnation_unknown = false;
+    };
+
+    bool is_outdated(const instance_announcement& announcement);
+    bool has_ended(const instance_announcement& announcement);
 
     ledger_settings m_settings;
     std::optional<record> m_current;
-    std::map<std::string, std::uint64_t> m_ended; ///< Incarnation of each id that has ended.
+    std::map<std::string, ended_instance> m_ended; ///< By id.
 };
 
 } // namespace boragehollow::admission
--- a/packages/admission/src/instance_ledger.cpp
+++ b/packages/admission/src/instance_ledger.cpp
@@ -9,11 +9,26 @@
 /// Ids of ended incarnations that are kept; a host restarts its target a few times a day.
 constexpr std::size_t most_ended = 256;
 
+/// A new incarnation counts its announcements from the start; a later number belongs to one that ran before.
+constexpr std::uint64_t first_announcements = 2;
+
 } // namespace
 
-bool instance_ledger::is_outdated(const instance_announcement& announcement) const {
-    const auto ended = m_ended.find(announcement.id);
-    if (ended != m_ended.end() && announcement.incarnation <= ended->second) {
+bool instance_ledger::has_ended(const instance_announcement& announcement) {
+    const auto found = m_ended.find(announcement.id);
+    if (found == m_ended.end()) {
+        return false;
+    }
+    ended_instance& ended = found->second;
+    if (ended.incarnation_unknown && announcement.sequence > first_announcements) {
+        // An old announcement tells which incarnation it was that left.
+        ended = {announcement.incarnation, false};
+    }
+    return !ended.incarnation_unknown && announcement.incarnation <= ended.incarnation;
+}
+
+bool instance_ledger::is_outdated(const instance_announcement& announcement) {
+    if (has_ended(announcement)) {
         return true;
     }
     if (!m_current) {
@@ -47,14 +62,17 @@
     return announcement_taken{before != current()};
 }
 
-bool instance_ledger::leave(const std::string& id, steady_time) {
-    const bool was_current = m_current && m_current->last.id == id;
+bool instance_ledger::leave(const std::string& id, std::uint64_t incarnation) {
+    const bool was_current = m_current && m_current->last.id == id &&
+                             (incarnation == 0 || incarnation >= m_current->last.incarnation);
     if (m_ended.size() >= most_ended) {
         m_ended.erase(m_ended.begin());
     }
-    std::uint64_t& incarnation = m_ended[id];
+    const std::uint64_t known = std::max(incarnation, was_current ? m_current->last.incarnation : 0);
+    ended_instance& ended = m_ended[id];
+    ended.incarnation_unknown = known == 0 && !was_current && ended.incarnation == 0;
+    ended.incarnation = std::max(ended.incarnation, known);
     if (was_current) {
-        incarnation = std::max(incarnation, m_current->last.incarnation);
         m_current.reset();
     }
     return was_current;
--- a/packages/admission/tests/instance_ledger_test.cpp
+++ b/packages/admission/tests/instance_ledger_test.cpp
@@ -46,17 +46,31 @@
 TEST(InstanceLedger, DoesNotBringBackAnIncarnationThatLeft) {
     instance_ledger ledger = make_ledger();
     ledger.announce(announcement("a", 10, 1), start);
-    EXPECT_TRUE(ledger.leave("a", start));
+    EXPECT_TRUE(ledger.leave("a", 0));
     EXPECT_TRUE(is<announcement_outdated>(ledger.announce(announcement("a", 10, 2), start)));
     EXPECT_FALSE(ledger.current().has_value());
 }
 
+// Guards against a late announcement of a target that left just after its daemon had started beside it, so
+// that the daemon had not heard of it yet.
+TEST(InstanceLedger, DoesNotBringBackAnIncarnationThatLeftBeforeItWasKnown) {
+    instance_ledger ledger = make_ledger();
+    EXPECT_FALSE(ledger.leave("a", 0));
+    EXPECT_TRUE(is<announcement_outdated>(ledger.announce(announcement("a", 10, 25), start)));
+    EXPECT_TRUE(is<announcement_outdated>(ledger.announce(announcement("a", 10, 1), start)));
+    EXPECT_TRUE(is<announcement_taken>(ledger.announce(announcement("a", 20, 1), start)));
+
+    instance_ledger told = make_ledger();
+    EXPECT_FALSE(told.leave("a", 10));
+    EXPECT_TRUE(is<announcement_outdated>(told.announce(announcement("a", 10, 1), start)));
+}
+
 // Guards against a restart under the same id that is taken for a late announcement, as its counts begin anew.
 TEST(InstanceLedger, TakesARestartUnderTheSameId) {
     instance_ledger ledger = make_ledger();
     ledger.announce(announcement("a", 10, 50), start);
     EXPECT_TRUE(is<announcement_taken>(ledger.announce(announcement("a", 30, 1), start)));
-    ledger.leave("a", start);
+    ledger.leave("a", 0);
     EXPECT_TRUE(is<announcement_taken>(ledger.announce(announcement("a", 40, 1), start)));
     EXPECT_TRUE(ledger.current().has_value());
 }
--- a/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
@@ -22,6 +22,7 @@
 /// A target says that it ends.
 struct instance_left {
     std::string id;
+    std::uint64_t incarnation = 0; ///< 0 when it was not said.
     common::reply_slot<bool> reply;
 };
 
--- a/packages/daemon/src/instance_duty.cpp
+++ b/packages/daemon/src/instance_duty.cpp
@@ -67,8 +67,8 @@
     message.reply.set(verdict);
 }
 
-void instance_duty::handle(const instance_left& message, common::steady_time now) {
-    if (m_ledger.leave(message.id, now)) {
+void instance_duty::handle(const instance_left& message, common::steady_time) {
+    if (m_ledger.leave(message.id, message.incarnation)) {
         m_events.emit(event_number::target_left, {{"instance", message.id}, {"reason", "announced"}});
         hand_on();
     }
--- a/packages/telemetry/include/boragehollow/telemetry/event_log.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_log.hpp
@@ -59,7 +59,8 @@
 };
 
 /// Sets up log4cplus with one appender to standard output, and closes it at the end of its life. One for each
-/// process.
+/// process. A thread of its own writes the lines, so that an event never waits for whoever reads them; lines
+/// beyond the bound of its ring are dropped, counted, and the count is written.
 class log_session {
 public:
     explicit log_session(event_level level);
@@ -70,8 +71,13 @@
 
     static void set_level(event_level level);
 
-private:
+    /// Waits until the lines of earlier events are written, at most until `deadline`. False when time ran
+    /// out.
+    static bool flush(common::steady_time deadline);
+
     struct state;
+
+private:
     std::unique_ptr<state> m_state;
 };
 
--- a/packages/telemetry/src/event_log.cpp
+++ b/packages/telemetry/src/event_log.cpp
@@ -1,13 +1,22 @@
 #include "boragehollow/telemetry/event_log.hpp"
 
+#include "boragehollow/common/bounded_ring.hpp"
+#include "boragehollow/common/duty.hpp"
+
 #include <array>
+#include <atomic>
+#include <chrono>
+#include <iostream>
+#include <optional>
 #include <utility>
+#include <variant>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
+#include <log4cplus/spi/loggingevent.h>
 
 namespace boragehollow::telemetry {
 
@@ -40,6 +49,25 @@
     return loggers.at(static_cast<std::size_t>(channel));
 }
 
+/// Lines that wait to be written: about 5 s of the bounded rate of lines about calls.
+constexpr std::size_t waiting_lines = 2'048;
+
+/// Lines of this time are written together, which costs one wake-up and one write.
+constexpr std::chrono::milliseconds batch_time{40};
+
+struct queued_line {
+    const log4cplus::Logger* logger = nullptr;
+    log4cplus::LogLevel level = log4cplus::INFO_LOG_LEVEL;
+    std::string text;
+    log4cplus::helpers::Time at;
+};
+
+void write_line(const queued_line& line) {
+    const log4cplus::spi::InternalLoggingEvent event(line.logger->getName(), line.level, "", {}, line.text,
+                                                     "", "", line.at, "", 0);
+    line.logger->callAppenders(event);
+}
+
 bool needs_quotes(const std::string& value) {
     return value.empty() || value.find_first_of(" \t\r\n\"=\\") != std::string::npos;
 }
@@ -89,6 +117,60 @@
     return line;
 }
 
+/// Ring and thread of the writer.
+struct log_session::state {
+    state() : writer("log_writer", [this](const std::stop_token&) { run(); }) { active = this; }
+
+    ~state() {
+        active = nullptr;
+        pause.close();
+        ring.close();
+        writer.join();
+    }
+
+    /// Hands a line to the writer; without one, writes it at once.
+    static void submit(queued_line line) {
+        state* const current = active;
+        if (current == nullptr) {
+            write_line(line);
+            return;
+        }
+        if (current->ring.try_push(std::move(line))) {
+            ++current->submitted;
+        }
+    }
+
+    void run() {
+        std::uint64_t dropped = 0;
+        while (auto line = ring.pop()) {
+            std::uint64_t batch = 0;
+            for (; line; line = ring.pop_until(common::steady_clock::now())) {
+                write_line(*line);
+                ++batch;
+            }
+            const std::uint64_t now_dropped = ring.stats().dropped;
+            if (now_dropped != dropped) {
+                write_line({&channel_logger(event_channel::daemon), log4cplus::WARN_LOG_LEVEL,
+                            "log_lines_dropped total=" + std::to_string(now_dropped),
+                            log4cplus::helpers::now()});
+                dropped = now_dropped;
+            }
+            std::cout.flush();
+            written += batch;
+            pause.pop_until(common::steady_clock::now() + batch_time);
+        }
+    }
+
+    static inline std::atomic<state*> active{nullptr};
+
+    log4cplus::Initializer initializer;
+    common::bounded_ring<queued_line> ring{waiting_lines};
+    common::bounded_ring<std::monostate> pause{1}; ///< Only closed, to end a pause.
+    std::atomic<std::uint64_t> submitted{0};
+    std::atomic<std::uint64_t> written{0};
+    common::duty writer;
+};
+
 event_log::event_log(std::string host, std::shared_ptr<common::hybrid_clock> clock, event_sink sink)
     : m_host(std::move(host)), m_clock(std::move(clock)), m_sink(std::move(sink)) {}
 
@@ -100,7 +182,8 @@
     const log4cplus::Logger& logger = channel_logger(description->channel);
     const log4cplus::LogLevel level = library_level(description->level);
     if (logger.isEnabledFor(level)) {
-        logger.log(level, format_event(*description, fields), nullptr, 0);
+        log_session::state::submit(
+            {&logger, level, format_event(*description, fields), log4cplus::helpers::now()});
     }
     if (!m_sink || description->level == event_level::debug) {
         return;
@@ -118,12 +201,8 @@
     m_sink(std::move(event));
 }
 
-struct log_session::state {
-    log4cplus::Initializer initializer;
-};
-
 log_session::log_session(event_level level) : m_state(std::make_unique<state>()) {
-    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, true));
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(false, false));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c %m%n"));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
@@ -133,6 +212,19 @@
 
 log_session::~log_session() = default;
 
+bool log_session::flush(common::steady_time deadline) {
+    state* const current = state::active;
+    if (current == nullptr) {
+        return true;
+    }
+    const std::uint64_t wanted = current->submitted;
+    common::bounded_ring<std::monostate> pause(1); // Never filled: a wait on a condition variable.
+    while (current->written < wanted && common::steady_clock::now() < deadline) {
+        pause.pop_until(common::steady_clock::now() + std::chrono::milliseconds(5));
+    }
+    return current->written >= wanted;
+}
+
 void log_session::set_level(event_level level) {
     log4cplus::Logger::getRoot().setLogLevel(library_level(level));
 }
--- a/packages/telemetry/tests/event_log_test.cpp
+++ b/packages/telemetry/tests/event_log_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
@@ -45,14 +47,22 @@
     EXPECT_LT(received[0].at, received[1].at);
 }
 
+/// log4cplus can be set up once in a process.
+log_session& process_session() {
+    static log_session session(event_level::info);
+    return session;
+}
+
 // Guards against a log that writes below its level, or to standard error.
 TEST(event_log, writes_to_standard_output_from_the_set_level_on) {
-    const log_session session(event_level::warning);
+    log_session& session = process_session();
+    session.set_level(event_level::warning);
     const event_log log("h", std::make_shared<common::hybrid_clock>(), nullptr);
     testing::internal::CaptureStderr();
     testing::internal::CaptureStdout();
     log.emit(event_number::log_reachable_again);
     log.emit(event_number::log_unreachable, {{"error", "refused"}});
+    EXPECT_TRUE(log_session::flush(common::steady_clock::now() + std::chrono::seconds(5)));
     const std::string output = testing::internal::GetCapturedStdout();
     EXPECT_EQ(testing::internal::GetCapturedStderr(), "");
     EXPECT_EQ(output.find("BH1204"), std::string::npos);
@@ -60,5 +70,24 @@
         << output;
 }
 
+// Guards against an event that waits for whoever reads the log, and against a loss that nobody sees.
+TEST(event_log, never_waits_and_counts_what_it_drops) {
+    testing::internal::CaptureStdout();
+    {
+        process_session().set_level(event_level::info);
+        const event_log log("h", std::make_shared<common::hybrid_clock>(), nullptr);
+        const auto begun = std::chrono::steady_clock::now();
+        for (int i = 0; i < 20'000; ++i) {
+            log.emit(event_number::log_unreachable, {{"error", i}});
+        }
+        // Far less than the pauses of the writer would take for all of these lines.
+        EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(2));
+        EXPECT_TRUE(log_session::flush(common::steady_clock::now() + std::chrono::seconds(5)));
+    }
+    const std::string output = testing::internal::GetCapturedStdout();
+    EXPECT_NE(output.find("log_lines_dropped total="), std::string::npos);
+    EXPECT_LT(std::count(output.begin(), output.end(), '\n'), 20'000);
+}
+
 } // namespace
 } // namespace boragehollow::telemetry
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -306,8 +306,8 @@
         }
         return reply.wait_until(after(control_wait));
     };
-    services.leave = [&all](const std::string& id) {
-        instance_left message{id, {}};
+    services.leave = [&all](const std::string& id, std::uint64_t incarnation) {
+        instance_left message{id, incarnation, {}};
         const auto reply = message.reply;
         return all.instance->ring().try_push(instance_message(std::move(message))) &&
                reply.wait_until(after(control_wait)).value_or(false);
--- a/programs/boragehollowd/main.cpp
+++ b/programs/boragehollowd/main.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -16,6 +17,9 @@
 
 namespace options = boost::program_options;
 
+/// The last lines of a stop; a reader that does not take them is not waited for.
+constexpr std::chrono::milliseconds longest_log_flush{200};
+
 constexpr int exit_failed = 1;
 constexpr int exit_usage = 2;
 
@@ -62,7 +66,7 @@
     }
     (*pipeline)->drain();
     // No state is left to write, and joining idle HTTP workers can take longer than the platform waits.
-    std::cout.flush();
+    boragehollow::telemetry::log_session::flush(std::chrono::steady_clock::now() + longest_log_flush);
     std::quick_exit(0);
 }
 
