--- a/packages/balancing/src/target_record.cpp
+++ b/packages/balancing/src/target_record.cpp
@@ -10,7 +10,7 @@
 // Demand changes within seconds, so a report of this age says nothing any more.
 constexpr std::chrono::duration<double> report_lifetime{3.0};
 // A refusal says that the queue was full; queues of short work empty within a fraction of a second.
-constexpr double refusal_fade_seconds = 0.3;
+constexpr std::chrono::duration<double> refusal_fade{0.3};
 constexpr double most_refusals = 8.0;
 
 double per_slot(double calls, std::uint32_t slots) {
@@ -38,8 +38,7 @@
 }
 
 void target_record::note_refusal(steady_time now) {
-    const double seconds = std::chrono::duration<double>(now - last_refusal).count();
-    refusals = std::min(most_refusals, refusals * std::exp(-seconds / refusal_fade_seconds) + 1.0);
+    refusals = std::min(most_refusals, refusals * std::exp(-((now - last_refusal) / refusal_fade)) + 1.0);
     last_refusal = now;
 }
 
@@ -78,8 +77,7 @@
         factor *= 1.0 + weight * (busy + waiting);
     }
     if (refusals > 0) {
-        const double seconds = std::chrono::duration<double>(now - last_refusal).count();
-        factor *= 1.0 + refusals * std::exp(-seconds / refusal_fade_seconds);
+        factor *= 1.0 + refusals * std::exp(-((now - last_refusal) / refusal_fade));
     }
     return factor;
 }
--- a/packages/balancing/src/token_budget.cpp
+++ b/packages/balancing/src/token_budget.cpp
@@ -10,7 +10,8 @@
 }
 
 token_budget::slice& token_budget::current(steady_time now) {
-    constexpr auto slice_length = std::chrono::duration_cast<std::chrono::milliseconds>(window) / slice_count;
+    constexpr auto slice_length = std::chrono::duration_cast<std::chrono::milliseconds>(window) /
+                                  static_cast<std::int64_t>(slice_count);
     const std::int64_t number = now.time_since_epoch() / slice_length;
     // Slices that have left the window are emptied, at most all of them.
     const std::int64_t passed =
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -259,6 +259,7 @@
         if (cancelled->requested()) {
             attempt left;
             left.cancelled = true;
+            left.detail = "caller left";
             left.outcome = attempt_outcome::cancelled;
             co_return left;
         }
--- a/packages/peer/src/channel_pool.cpp
+++ b/packages/peer/src/channel_pool.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/peer/channel_pool.hpp"
 
+#include <chrono>
 #include <grpcpp/grpcpp.h>
 
 namespace boragehollow::peer {
@@ -7,17 +8,17 @@
 namespace {
 
 /// A daemon that restarts is reached again within this time; gRPC's default of 20 s to 2 min is too slow.
-constexpr int min_reconnect_backoff_ms = 100;
-constexpr int max_reconnect_backoff_ms = 1'000;
+constexpr std::chrono::milliseconds min_reconnect_backoff{100};
+constexpr std::chrono::milliseconds max_reconnect_backoff{1'000};
 constexpr int keepalive_time_ms = 10'000;
 constexpr int keepalive_timeout_ms = 3'000;
 
 grpc::ChannelArguments channel_arguments() {
     grpc::ChannelArguments arguments;
     arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
-    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, min_reconnect_backoff_ms);
-    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, min_reconnect_backoff_ms);
-    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, max_reconnect_backoff_ms);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, static_cast<int>(min_reconnect_backoff.count()));
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(min_reconnect_backoff.count()));
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, static_cast<int>(max_reconnect_backoff.count()));
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_time_ms);
     arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
--- a/programs/boragehollowd/document_parts.hpp
+++ b/programs/boragehollowd/document_parts.hpp
@@ -13,11 +13,21 @@
 #include "boragehollow/forwarding/forwarder.hpp"
 #include "boragehollow/platform/host_front.hpp"
 
+#include <atomic>
+#include <chrono>
 #include <latch>
+#include <map>
 #include <memory>
 
 namespace boragehollow::daemon {
 
+/// Longest wait for another duty or another daemon to take or answer a message.
+inline constexpr std::chrono::milliseconds control_wait{800};
+
+inline common::steady_time after(std::chrono::milliseconds wait) {
+    return common::steady_clock::now() + wait;
+}
+
 /// Members are destroyed in the reverse order: first the sources, then the duties, then what they share.
 struct document_pipeline::parts {
     explicit parts(settings::daemon_settings given);
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -1,7 +1,7 @@
 #include "document_pipeline.hpp"
 
+#include "document_fronts.hpp"
 #include "document_parts.hpp"
-#include "http_sources.hpp"
 #include "translation.hpp"
 
 #include "boragehollow/codec/member_codec.hpp"
@@ -30,13 +30,9 @@
 
 using telemetry::event_number;
 
-constexpr std::chrono::milliseconds control_wait{800};
 constexpr std::size_t state_ring = 64;
 constexpr std::size_t instance_ring = 64;
 constexpr std::size_t watch_ring_size = 64;
-constexpr std::size_t host_threads = 2;
-constexpr std::size_t operator_threads = 3;
-constexpr std::chrono::milliseconds host_silence{4'000};
 
 /// All daemons together may repeat a fifth of a service's calls. The calls of a repeated call count as
 /// repeats at the service behind it, so that each of two services in a row gets less than half.
@@ -48,10 +44,6 @@
 const std::string sync_path = "sync";
 const std::string document_path = "document";
 
-common::steady_time after(std::chrono::milliseconds wait) {
-    return common::steady_clock::now() + wait;
-}
-
 /// Sinks wait until all duties exist, since the duties start one after the other.
 template <class Sink>
 auto when_wired(document_pipeline::parts& all, Sink sink) {
@@ -296,107 +288,6 @@
     return {};
 }
 
-platform::host_front_services host_services(document_pipeline::parts& all) {
-    platform::host_front_services services;
-    services.announce = [&all](admission::instance_announcement announcement) {
-        instance_announced message{std::move(announcement), {}};
-        const auto reply = message.reply;
-        if (!all.instance->ring().try_push(instance_message(std::move(message)))) {
-            return std::optional<admission::ledger_verdict>();
-        }
-        return reply.wait_until(after(control_wait));
-    };
-    services.leave = [&all](const std::string& id, std::uint64_t incarnation) {
-        instance_left message{id, incarnation, {}};
-        const auto reply = message.reply;
-        return all.instance->ring().try_push(instance_message(std::move(message))) &&
-               reply.wait_until(after(control_wait)).value_or(false);
-    };
-    services.ready = [&all] { return all.forwarder->has_configuration() && !all.stopping; };
-    services.unreadable = [&all](const std::string& detail) {
-        all.events.emit(event_number::target_announcement_invalid, {{"detail", detail}});
-    };
-    return services;
-}
-
-operator_services services_for_operators(document_pipeline::parts& all) {
-    operator_services services;
-    services.publish = [](const config::change&) -> publish_result {
-        return change_not_appended{"the configuration of this mesh is the platform's document"};
-    };
-    services.snapshot = [&all] { return all.snapshot.load(); };
-    services.progress = [&all](common::revision version) {
-        mesh_progress progress{version, {}};
-        domain_progress own{all.settings.identity.failure_domain, false, 0, 0};
-        if (const auto counts = all.membership->progress(version, after(control_wait))) {
-            own.answered = true;
-            own.members = counts->members;
-            own.in_force = counts->at_or_past;
-        }
-        progress.domains.push_back(std::move(own));
-        return progress;
-    };
-    services.timeline = [&all](std::optional<common::hybrid_time> since, std::size_t limit, bool) {
-        auto page = all.timeline.query(since, limit, after(control_wait));
-        host_timeline own{all.settings.identity.host, page.has_value(), {}};
-        if (page) {
-            own.page = std::move(*page);
-        }
-        return std::vector<host_timeline>{std::move(own)};
-    };
-    services.status = [&all] {
-        daemon_status status;
-        status.host = all.settings.identity.host;
-        status.failure_domain = all.settings.identity.failure_domain;
-        status.ready = all.forwarder->has_configuration();
-        status.stopping = all.stopping;
-        if (const auto mesh = all.mesh.load()) {
-            status.alive = mesh->count(membership::member_state::alive);
-            status.suspect = mesh->count(membership::member_state::suspect);
-            status.dead = mesh->count(membership::member_state::dead);
-        }
-        return status;
-    };
-    services.metrics = [&all] { return all.metrics.render(common::steady_clock::now()); };
-    services.watch = [&all](open_watch watch) { return all.watch->ring().try_push(std::move(watch)); };
-    return services;
-}
-
-tl::expected<std::unique_ptr<web::http_server>, std::string>
-open_front(document_pipeline::parts& all, const http_source& source, web::http_server::handler serve) {
-    return open_http(all.metrics, all.settings.limits.header_bytes, source, std::move(serve));
-}
-
-/// Readiness, the target's announcements, and operators.
-tl::expected<void, std::string> open_http_sources(document_pipeline::parts& all) {
-    const settings::listener_settings& listeners = all.settings.listeners;
-    all.host = std::make_unique<platform::host_front>(host_services(all));
-    auto opened = open_front(all, {"target", listeners.target, host_threads, host_silence},
-                             [&all](web::server_exchange& exchange) { all.host->serve_target(exchange); });
-    if (!opened) {
-        return tl::unexpected(opened.error());
-    }
-    all.target_server = std::move(*opened);
-    if (listeners.readiness) {
-        opened = open_front(all, {"readiness", *listeners.readiness, host_threads, host_silence},
-                            [&all](web::server_exchange& exchange) { all.host->serve_readiness(exchange); });
-        if (!opened) {
-            return tl::unexpected(opened.error());
-        }
-        all.readiness_server = std::move(*opened);
-    }
-    operator_front_settings front_settings;
-    front_settings.max_body_bytes = all.settings.limits.operator_body_bytes;
-    all.operators = std::make_unique<operator_front>(front_settings, services_for_operators(all), all.events);
-    opened = open_front(all, {"operators", listeners.operators, operator_threads, operator_silence},
-                        [&all](web::server_exchange& exchange) { all.operators->serve(exchange); });
-    if (!opened) {
-        return tl::unexpected(opened.error());
-    }
-    all.operator_server = std::move(*opened);
-    return {};
-}
-
 } // namespace
 
 document_pipeline::parts::parts(settings::daemon_settings given)
@@ -404,32 +295,6 @@
       events(settings.identity.host, clock,
              [this](telemetry::timeline_event event) { timeline.record(std::move(event)); }) {}
 
-document_pipeline::parts::~parts() {
-    if (operators) {
-        operators->stop();
-    }
-    operator_server.reset();
-    readiness_server.reset();
-    target_server.reset();
-    // A start that failed leaves the latch closed and some duties out.
-    if (!wired.try_wait()) {
-        wired.count_down();
-    }
-    const auto stop = [](auto& duty) {
-        if (duty) {
-            duty->stop();
-        }
-    };
-    stop(registry);
-    stop(state_source);
-    stop(forwarder);
-    stop(instance);
-    stop(membership);
-    stop(state);
-    stop(watch);
-    events.emit(event_number::daemon_stopped);
-}
-
 document_pipeline::document_pipeline(std::unique_ptr<parts> started) : m_parts(std::move(started)) {}
 
 document_pipeline::~document_pipeline() = default;
@@ -478,42 +343,4 @@
     return bound;
 }
 
-void document_pipeline::drain() {
-    /// Two readiness checks, a second apart, have failed by then, and most callers send no new work. Those
-    /// that still do need the rest of the time for their calls.
-    constexpr std::chrono::milliseconds callers_turn_away{2'900};
-    /// Other daemons have heard by gossip that this one leaves.
-    constexpr std::chrono::milliseconds leave_notice{700};
-    constexpr std::chrono::milliseconds poll{50};
-    parts& all = *m_parts;
-    const common::steady_time started = common::steady_clock::now();
-    const std::chrono::milliseconds limit =
-        all.settings.calls.drain_limit.value_or(all.settings.calls.longest_deadline);
-    all.events.emit(event_number::daemon_stop_requested, {{"running", all.forwarder->open_calls()}});
-    all.stopping = true;
-    all.forwarder->begin_stop();
-    membership::target_announcement leaving;
-    leaving.service = all.settings.target.service.value_or("");
-    leaving.state = membership::target_state::draining;
-    all.membership->ring().push_until(local_announcement_changed{std::move(leaving)}, after(control_wait));
-    all.operators->stop();
-    common::bounded_ring<std::monostate> pause(1); // Never filled: a wait on a condition variable.
-    pause.pop_until(started + leave_notice);
-    all.forwarder->post(forwarding::refuse_new_work{});
-    pause.pop_until(started + callers_turn_away);
-    all.forwarder->post(forwarding::stop_accepting{});
-    all.membership->ring().push_until(leave_mesh{}, after(control_wait));
-    pause.pop_until(common::steady_clock::now() + poll);
-    while (all.forwarder->open_calls() > 0) {
-        const common::steady_time now = common::steady_clock::now();
-        if (now - started >= limit) {
-            all.events.emit(event_number::daemon_drain_limit_reached,
-                            {{"running", all.forwarder->open_calls()}});
-            return;
-        }
-        pause.pop_until(now + poll);
-    }
-    all.events.emit(event_number::daemon_drained, {{"duration", common::steady_clock::now() - started}});
-}
-
 } // namespace boragehollow::daemon
