Unwind the forwarder before its parts go, and stop asking a peer that is gone

Cause: found by reading the diff. Coroutines that still waited when a forwarder was destroyed ended after the parts that they use; a daemon that had seen a newer version at a peer which then died asked it every 700 ms without end. Change: after its thread has ended the forwarder closes its connections and lets the coroutines run out, for 100 ms at most; the state duty asks four times and waits for the next sight. Tests of the state duty: newer readable documents only, a fetch at once without a configuration, none for a version that comes in time.

--- a/packages/daemon/include/boragehollow/daemon/state_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_duty.hpp
@@ -73,6 +73,7 @@
     common::published<document_in_force> m_document;
     std::optional<newer_version_seen> m_newer;
     common::steady_time m_fetch_at;
+    unsigned m_fetches = 0; ///< For `m_newer`.
     common::bounded_ring<state_message> m_ring;
     common::duty m_thread;
 };
--- a/packages/daemon/src/state_duty.cpp
+++ b/packages/daemon/src/state_duty.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds patience{800};
 constexpr milliseconds fetch_interval{700};
 
+/// A peer that does not give its document may be gone; the next sight of a newer version names another one.
+constexpr unsigned most_fetches = 4;
+
 } // namespace
 
 state_duty::state_duty(document_decoder decode, state_sinks sinks, std::size_t ring_size,
@@ -86,6 +89,7 @@
     if (!m_newer) {
         // A daemon without any configuration serves nobody, so it asks at once.
         m_fetch_at = m_version.value == 0 ? now : now + patience;
+        m_fetches = 0;
         m_newer = message;
         return;
     }
@@ -98,6 +102,10 @@
     if (!m_newer || now < m_fetch_at) {
         return;
     }
+    if (m_fetches++ >= most_fetches) {
+        m_newer.reset();
+        return;
+    }
     m_fetch_at = now + fetch_interval;
     m_sinks.fetch(m_newer->peer);
 }
--- /dev/null
+++ b/packages/daemon/tests/state_duty_test.cpp
@@ -0,0 +1,96 @@
+#include "boragehollow/daemon/state_duty.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace boragehollow::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Documents of the test are the version in decimal digits.
+tl::expected<config::numbered_state, std::string> decode(const std::string& text) {
+    if (text.empty() || text.find_first_not_of("0123456789") != std::string::npos) {
+        return tl::unexpected<std::string>("no number");
+    }
+    config::numbered_state state;
+    state.version = {std::stoull(text)};
+    state.services = {{.name = "desk"}};
+    return state;
+}
+
+class state_duty_test : public testing::Test {
+protected:
+    state_duty_test()
+        : m_events("h", std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}),
+          m_duty(decode,
+                 {[this](const config::state_in_force& state, const auto&) { add(state); },
+                  [this](const common::endpoint&) { ++m_fetches; }},
+                 16, m_events) {}
+
+    void add(const config::state_in_force& state) {
+        const std::lock_guard lock(m_mutex);
+        m_versions.push_back(state.snapshot->version.value);
+    }
+
+    void give(const std::string& document) { m_duty.ring().try_push(document_received{document, false}); }
+
+    std::vector<std::uint64_t> versions() const {
+        const std::lock_guard lock(m_mutex);
+        return m_versions;
+    }
+
+    bool eventually(const std::function<bool()>& condition, std::chrono::milliseconds limit = 3s) const {
+        const auto end = common::steady_clock::now() + limit;
+        while (!condition() && common::steady_clock::now() < end) {
+            std::this_thread::sleep_for(5ms);
+        }
+        return condition();
+    }
+
+    mutable std::mutex m_mutex;
+    std::vector<std::uint64_t> m_versions;
+    std::atomic<int> m_fetches{0};
+    telemetry::event_log m_events;
+    state_duty m_duty;
+};
+
+// Guards against a daemon that goes back to an older version, or applies a document that cannot be read.
+TEST_F(state_duty_test, only_newer_readable_documents_come_into_force) {
+    for (const char* document : {"5", "4", "broken", "5", "9", "7"}) {
+        give(document);
+    }
+    ASSERT_TRUE(eventually([this] { return versions().size() == 2; }));
+    EXPECT_EQ(versions(), (std::vector<std::uint64_t>{5, 9}));
+    EXPECT_EQ(m_duty.document()->document, "9");
+}
+
+// Guards against a daemon without a configuration that waits although a peer has one.
+TEST_F(state_duty_test, a_daemon_without_a_configuration_asks_at_once) {
+    m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 1}, {3}});
+    EXPECT_TRUE(eventually([this] { return m_fetches > 0; }, 400ms));
+}
+
+// Guards against a transfer from a peer for each version that the platform is about to deliver itself.
+TEST_F(state_duty_test, a_version_that_arrives_in_time_is_not_fetched) {
+    give("5");
+    ASSERT_TRUE(eventually([this] { return !versions().empty(); }));
+    m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 1}, {6}});
+    std::this_thread::sleep_for(100ms);
+    give("6");
+    std::this_thread::sleep_for(1s);
+    EXPECT_EQ(m_fetches, 0);
+}
+
+// Guards against requests without end to a peer that is gone.
+TEST_F(state_duty_test, a_peer_that_does_not_answer_is_asked_a_few_times) {
+    m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 1}, {3}});
+    std::this_thread::sleep_for(4s);
+    EXPECT_LE(m_fetches, 4);
+}
+
+} // namespace
+} // namespace boragehollow::daemon
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -115,6 +115,7 @@
     tl::expected<void, std::string> open(tcp::acceptor& acceptor, const common::endpoint& listen,
                                          common::endpoint& bound);
     void run();
+    void unwind();
     asio::awaitable<void> accept(tcp::acceptor& acceptor, std::shared_ptr<const session_services> services);
     asio::awaitable<void> sweep();
     asio::awaitable<response_message> serve_caller(request_message request, cancellation_ptr cancelled);
@@ -138,6 +139,7 @@
     std::atomic<bool> m_wake_pending{false};
     std::atomic<bool> m_stopping{false};
     std::atomic<bool> m_has_configuration{false};
+    bool m_ended = false;
     std::atomic<std::size_t> m_open_calls{0};
     std::atomic<std::size_t> m_unwritten{0}; ///< Responses to callers that are not written yet.
     config::caller_limits m_limits;
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -15,6 +15,9 @@
 /// Idle connections and time limits of callers are looked at this often; the shortest limit is a few seconds.
 constexpr milliseconds sweep_interval{500};
 
+/// Calls that must not be cut at their target may take longer; then the process ends under them.
+constexpr milliseconds longest_unwind{100};
+
 /// Pause after a failed accept, which happens when no descriptor is left.
 constexpr milliseconds accept_pause{20};
 
@@ -80,6 +83,21 @@
     m_context.stop();
     m_thread->join();
     m_thread.reset();
+    unwind();
+}
+
+/// Lets the coroutines end while everything that they use exists.
+void forwarder::unwind() {
+    error_code ignored;
+    m_caller_acceptor.close(ignored);
+    m_peer_acceptor.close(ignored);
+    for (const std::shared_ptr<http_session>& session : m_sessions) {
+        session->close();
+    }
+    m_ended = true;
+    m_sweep_timer.cancel();
+    m_context.restart();
+    m_context.run_for(longest_unwind);
 }
 
 tl::expected<void, std::string> forwarder::open(tcp::acceptor& acceptor, const common::endpoint& listen,
@@ -178,6 +196,9 @@
         m_sweep_timer.expires_after(sweep_interval);
         error_code ignored;
         co_await m_sweep_timer.async_wait(result_in(ignored));
+        if (m_ended) {
+            co_return;
+        }
         const common::steady_time now = common::steady_clock::now();
         for (auto at = m_sessions.begin(); at != m_sessions.end();) {
             const std::shared_ptr<http_session> session = *at;
--- a/packages/peer/src/channel_pool.cpp
+++ b/packages/peer/src/channel_pool.cpp
@@ -10,8 +10,8 @@
 /// A daemon that restarts is reached again within this time; gRPC's default of 20 s to 2 min is too slow.
 constexpr std::chrono::milliseconds min_reconnect_backoff{100};
 constexpr std::chrono::milliseconds max_reconnect_backoff{1'000};
-constexpr int keepalive_time_ms = 10'000;
-constexpr int keepalive_timeout_ms = 3'000;
+constexpr std::chrono::milliseconds keepalive_time{10'000};
+constexpr std::chrono::milliseconds keepalive_timeout{3'000};
 
 grpc::ChannelArguments channel_arguments() {
     grpc::ChannelArguments arguments;
@@ -19,8 +19,8 @@
     arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, static_cast<int>(min_reconnect_backoff.count()));
     arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, static_cast<int>(min_reconnect_backoff.count()));
     arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, static_cast<int>(max_reconnect_backoff.count()));
-    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, keepalive_time_ms);
-    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, keepalive_timeout_ms);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, static_cast<int>(keepalive_time.count()));
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, static_cast<int>(keepalive_timeout.count()));
     arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
     arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     arguments.SetServiceConfigJSON("{}");
