--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -330,5 +330,30 @@
     EXPECT_TRUE(caller.read().empty());
 }
 
+// Guards against a pipelining caller that keeps its connection busy, so that a stopping daemon never ends it.
+TEST(Forwarder, EndsAConnectionThatIsNeverIdleWhileItStops) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        std::this_thread::sleep_for(20ms);
+        send(socket, answer(header(head, "X-Id"), "ok"));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.callers());
+    // Six requests are open at any time, so that the connection has no moment without one.
+    for (const char* id : {"1", "2", "3", "4", "5", "6"}) {
+        caller.write(request("GET", "/safe/a", id));
+    }
+    ASSERT_TRUE(caller.read().starts_with("HTTP/1.1 200"));
+    daemon.get().begin_stop();
+    constexpr int most_tries = 30;
+    int served = 0;
+    caller.write(request("GET", "/safe/c", "c"));
+    while (served < most_tries && !caller.read().empty()) {
+        ++served;
+        caller.write(request("GET", "/safe/d", "d" + std::to_string(served)));
+    }
+    EXPECT_LT(served, most_tries / 2);
+}
+
 } // namespace
 } // namespace boragehollow::forwarding
