Let two daemons a failure domain follow the store, and pass documents on

Cause: every daemon followed the store by itself. Ruled out: a longer wait of each read. It saves idle calls only; each change still returns to every daemon. Change: the log readers of a failure domain (rendezvous over its live members, as for the product's own log) follow the store. They tell their domain of a version by one datagram each, every daemon passes it on to three others and one of another domain, and a daemon that hears of a version fetches the compressed document from whoever told it, then from the next one, and in the end from the store. A daemon looks into the registry once, and again only while it is alone or reads for its domain.

--- a/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
@@ -21,10 +21,13 @@
 struct registry_access {
     std::function<tl::expected<void, std::string>(const std::stop_token&)> enter_self;
     std::function<tl::expected<std::vector<common::endpoint>, std::string>(const std::stop_token&)> list;
+    std::function<bool()> alone; ///< No other daemon is known to be alive.
+    /// This daemon looks for the ones of its failure domain, too, when groups of daemons may have met apart.
+    std::function<bool()> looks_for_domain;
 };
 
-/// Thread that enters this daemon in the registry and looks for others there: at the start, once more shortly
-/// after, and then rarely, since gossip carries the rest.
+/// Thread that enters this daemon in the registry and looks for others there: at the start, soon again while
+/// it is alone, and then rarely, since gossip carries the rest.
 class registry_duty {
 public:
     registry_duty(registry_access access, std::function<void(std::vector<common::endpoint>)> found,
--- a/packages/daemon/include/boragehollow/daemon/state_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_duty.hpp
@@ -4,7 +4,9 @@
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/endpoint.hpp"
 #include "boragehollow/common/published.hpp"
+#include "boragehollow/common/random_source.hpp"
 #include "boragehollow/config/numbered_state.hpp"
+#include "boragehollow/daemon/state_source_duty.hpp"
 #include "boragehollow/routing/route_table.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
@@ -28,9 +30,15 @@
 struct newer_version_seen {
     common::endpoint peer;
     common::revision version;
+    bool same_domain = false; ///< Of the peer and this daemon: their transfers do not leave the domain.
 };
 
-using state_message = std::variant<document_received, newer_version_seen>;
+/// How this daemon gets the platform's documents, which decides how soon it asks another daemon for one.
+struct reading_mode_changed {
+    reading_mode mode;
+};
+
+using state_message = std::variant<document_received, newer_version_seen, reading_mode_changed>;
 
 /// The document of the version in force, for other daemons that ask for it.
 struct document_in_force {
@@ -42,17 +50,18 @@
 struct state_sinks {
     std::function<void(const config::state_in_force&, std::shared_ptr<const routing::route_table>)> in_force;
     std::function<void(const common::endpoint& peer)> fetch;
+    std::function<void()> read_platform;
 };
 
 using document_decoder = std::function<tl::expected<config::numbered_state, std::string>(const std::string&)>;
 
-/// Thread that puts configuration documents in force: whole, valid and newer ones only. When another daemon
-/// has a newer version for a while, it fetches the document from there, so that a daemon which the platform
-/// turns away still converges.
+/// Thread that puts configuration documents in force: whole, valid and newer ones only. It fetches a newer
+/// version from a daemon that has it: at once where this daemon does not follow the platform itself, else
+/// after a while, so that a daemon which the platform turns away still converges.
 class state_duty {
 public:
     state_duty(document_decoder decode, state_sinks sinks, std::size_t ring_size,
-               const telemetry::event_log& events);
+               common::random_source random, const telemetry::event_log& events);
     ~state_duty();
 
     void stop();
@@ -64,15 +73,20 @@
     void run();
     void handle(document_received& message, common::steady_time now);
     void handle(const newer_version_seen& message, common::steady_time now);
+    void handle(const reading_mode_changed& message, common::steady_time now);
+    std::chrono::milliseconds patience();
     void fetch_if_due(common::steady_time now);
 
     document_decoder m_decode;
     state_sinks m_sinks;
     const telemetry::event_log& m_events;
+    common::random_source m_random;
+    reading_mode m_mode = continuous_reading{};
     common::revision m_version;
     common::published<document_in_force> m_document;
     std::optional<newer_version_seen> m_newer;
     common::steady_time m_fetch_at;
+    common::steady_time m_last_fetch;
     unsigned m_fetches = 0; ///< For `m_newer`.
     common::bounded_ring<state_message> m_ring;
     common::duty m_thread;
--- a/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
@@ -16,11 +16,28 @@
 
 namespace boragehollow::daemon {
 
-/// Waits for the next configuration document, for a bounded time. Empty: there was none. An error tells why
-/// the source did not answer.
-using document_poll =
+/// Reads a configuration document. Empty: there was none. An error tells why the platform did not answer.
+using document_read =
     std::function<tl::expected<std::optional<std::string>, std::string>(const std::stop_token&)>;
 
+struct document_access {
+    document_read newest; ///< At once.
+    document_read next;   ///< Waits for a bounded time for one that came after the last read.
+};
+
+/// This daemon follows the platform's configuration, as one of a few in its failure domain.
+struct continuous_reading {};
+
+/// Other daemons follow it and pass it on; this one reads only when it is told to.
+struct reading_on_demand {};
+
+using reading_mode = std::variant<continuous_reading, reading_on_demand>;
+
+/// The other daemons have not delivered a version that they have.
+struct read_now {};
+
+using state_source_message = std::variant<reading_mode, read_now>;
+
 struct state_source_settings {
     /// Pause after a document, so that a quick series of them costs one read for several.
     std::chrono::milliseconds pause_after_document{350};
@@ -28,29 +45,39 @@
     std::chrono::milliseconds max_backoff{1'200};
 };
 
-/// Thread that reads configuration documents from the platform, at a bounded rate.
+/// Thread that reads configuration documents from the platform, at a bounded rate. It follows them until it
+/// has read one, whatever its mode.
 class state_source_duty {
 public:
-    state_source_duty(state_source_settings settings, document_poll poll,
+    state_source_duty(state_source_settings settings, document_access access,
                       std::function<void(std::string)> document, common::random_source random,
                       const telemetry::event_log& events);
     ~state_source_duty();
 
     void stop();
 
+    common::bounded_ring<state_source_message>& ring() { return m_ring; }
+
 private:
     void run(const std::stop_token& stop);
+    bool follows() const;
+    void read(const std::stop_token& stop);
+    void apply(const state_source_message& message);
     std::chrono::milliseconds failed(const std::string& detail);
     void wait(std::chrono::milliseconds pause);
 
     state_source_settings m_settings;
-    document_poll m_poll;
+    document_access m_access;
     std::function<void(std::string)> m_document;
     common::random_source m_random;
     const telemetry::event_log& m_events;
     std::chrono::milliseconds m_backoff;
     bool m_reachable = true;
-    common::bounded_ring<std::monostate> m_wake{1}; ///< Only closed, to end a pause.
+    reading_mode m_mode = continuous_reading{};
+    bool m_has_read = false;
+    bool m_read_wanted = false;
+    bool m_in_position = false; ///< The next document follows the last one that was read.
+    common::bounded_ring<state_source_message> m_ring{16};
     common::duty m_thread;
 };
 
--- a/packages/daemon/src/registry_duty.cpp
+++ b/packages/daemon/src/registry_duty.cpp
@@ -14,10 +14,12 @@
 constexpr milliseconds longest_backoff{1'500};
 constexpr unsigned most_doublings = 4;
 
-/// Daemons that started at the same moment have entered themselves by then.
-constexpr milliseconds second_look{1'200};
+/// Whoever enters itself later sees this daemon's entry, so that a look finds nothing new unless the others
+/// are gone.
+constexpr milliseconds looks_when_alone{1'200};
 
-/// Only a daemon that lost all of its peers learns something new later. Each look is a priced call.
+/// Groups of daemons that do not know each other meet again within this time. Each look is a call that the
+/// platform charges for.
 constexpr milliseconds later_looks{30'000};
 
 } // namespace
@@ -45,9 +47,16 @@
 
 void registry_duty::run(const std::stop_token& stop) {
     bool entered = false;
-    unsigned looks = 0;
+    bool looked_once = false;
     unsigned failures = 0;
+    common::steady_time next_look = common::steady_clock::now();
     while (!stop.stop_requested()) {
+        const bool due =
+            m_access.alone() || (m_access.looks_for_domain() && common::steady_clock::now() >= next_look);
+        if (entered && looked_once && !due) {
+            wait(looks_when_alone);
+            continue;
+        }
         // Looking does not depend on the entry: a store that refuses writes may still answer reads.
         entered = entered || enter(stop);
         const bool looked = look(stop);
@@ -56,8 +65,10 @@
             continue;
         }
         failures = 0;
-        const milliseconds pause = looks++ == 0 ? second_look : later_looks;
-        wait(pause + std::chrono::duration_cast<milliseconds>(m_random.jitter(pause / 4)));
+        looked_once = true;
+        next_look = common::steady_clock::now() + later_looks;
+        wait(looks_when_alone +
+             std::chrono::duration_cast<milliseconds>(m_random.jitter(looks_when_alone / 4)));
     }
 }
 
--- a/packages/daemon/src/state_duty.cpp
+++ b/packages/daemon/src/state_duty.cpp
@@ -1,5 +1,8 @@
 #include "boragehollow/daemon/state_duty.hpp"
 
+#include "boragehollow/common/overloaded.hpp"
+
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -10,10 +13,18 @@
 using std::chrono::milliseconds;
 using telemetry::event_number;
 
-/// The platform delivers a version to all daemons within a few hundred milliseconds; a daemon that lacks it
-/// for longer asks its peer. Well below the 2 s in which a version has to be in force.
-constexpr milliseconds patience{800};
-constexpr milliseconds fetch_interval{700};
+/// The platform delivers a version to the daemons that follow it within a few hundred milliseconds; one that
+/// lacks it for longer asks its peer. Well below the 2 s in which a version has to be in force.
+constexpr milliseconds patience_of_followers{800};
+
+/// The other daemons of a failure domain hear of a version at the same moment; this spreads their requests.
+constexpr milliseconds request_spread{120};
+
+/// A transfer takes a few round trips of a millisecond; two of these leave time to read the platform.
+constexpr milliseconds fetch_interval{450};
+
+/// A quick series of versions costs one transfer for several.
+constexpr milliseconds shortest_fetch_distance{300};
 
 /// A peer that does not give its document may be gone; the next sight of a newer version names another one.
 constexpr unsigned most_fetches = 4;
@@ -21,9 +32,9 @@
 } // namespace
 
 state_duty::state_duty(document_decoder decode, state_sinks sinks, std::size_t ring_size,
-                       const telemetry::event_log& events)
-    : m_decode(std::move(decode)), m_sinks(std::move(sinks)), m_events(events), m_ring(ring_size),
-      m_thread("state", [this](const std::stop_token&) { run(); }) {}
+                       common::random_source random, const telemetry::event_log& events)
+    : m_decode(std::move(decode)), m_sinks(std::move(sinks)), m_events(events), m_random(random),
+      m_ring(ring_size), m_thread("state", [this](const std::stop_token&) { run(); }) {}
 
 state_duty::~state_duty() {
     stop();
@@ -87,25 +98,49 @@
         return;
     }
     if (!m_newer) {
-        // A daemon without any configuration serves nobody, so it asks at once.
-        m_fetch_at = m_version.value == 0 ? now : now + patience;
+        m_fetch_at = std::max(now + patience(), m_last_fetch + shortest_fetch_distance);
         m_fetches = 0;
         m_newer = message;
         return;
     }
-    if (message.version > m_newer->version) {
+    // A peer that was asked without success makes room for the next one that has the version.
+    const bool closer = message.same_domain && !m_newer->same_domain;
+    if (message.version > m_newer->version ||
+        (message.version == m_newer->version && (closer || m_fetches > 0))) {
         m_newer = message;
     }
 }
 
+void state_duty::handle(const reading_mode_changed& message, common::steady_time) {
+    m_mode = message.mode;
+}
+
+milliseconds state_duty::patience() {
+    // A daemon without any configuration serves nobody, so it asks at once.
+    if (m_version.value == 0) {
+        return milliseconds::zero();
+    }
+    return std::visit(common::overloaded{[](const continuous_reading&) { return patience_of_followers; },
+                                         [this](const reading_on_demand&) {
+                                             return std::chrono::duration_cast<milliseconds>(
+                                                 m_random.jitter(request_spread));
+                                         }},
+                      m_mode);
+}
+
 void state_duty::fetch_if_due(common::steady_time now) {
     if (!m_newer || now < m_fetch_at) {
         return;
     }
-    if (m_fetches++ >= most_fetches) {
+    if (m_fetches >= most_fetches) {
         m_newer.reset();
         return;
     }
+    if (m_fetches > 0 && std::holds_alternative<reading_on_demand>(m_mode)) {
+        m_sinks.read_platform();
+    }
+    ++m_fetches;
+    m_last_fetch = now;
     m_fetch_at = now + fetch_interval;
     m_sinks.fetch(m_newer->peer);
 }
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -1,5 +1,7 @@
 #include "boragehollow/daemon/state_source_duty.hpp"
 
+#include "boragehollow/common/overloaded.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -8,10 +10,10 @@
 using std::chrono::milliseconds;
 using telemetry::event_number;
 
-state_source_duty::state_source_duty(state_source_settings settings, document_poll poll,
+state_source_duty::state_source_duty(state_source_settings settings, document_access access,
                                      std::function<void(std::string)> document, common::random_source random,
                                      const telemetry::event_log& events)
-    : m_settings(settings), m_poll(std::move(poll)), m_document(std::move(document)), m_random(random),
+    : m_settings(settings), m_access(std::move(access)), m_document(std::move(document)), m_random(random),
       m_events(events), m_backoff(settings.min_backoff),
       m_thread("state_source", [this](const std::stop_token& stop) { run(stop); }) {}
 
@@ -21,32 +23,59 @@
 
 void state_source_duty::stop() {
     m_thread.request_stop();
-    m_wake.close();
+    m_ring.close();
     m_thread.join();
 }
 
 void state_source_duty::run(const std::stop_token& stop) {
     while (!stop.stop_requested()) {
-        auto document = m_poll(stop);
-        if (stop.stop_requested()) {
-            return;
-        }
-        if (!document) {
-            wait(failed(document.error()));
+        wait(milliseconds::zero());
+        if (follows() || m_read_wanted) {
+            read(stop);
             continue;
         }
-        m_backoff = m_settings.min_backoff;
-        if (!std::exchange(m_reachable, true)) {
-            m_events.emit(event_number::log_reachable_again);
-        }
-        if (!*document) {
-            continue;
+        if (const auto message = m_ring.pop()) {
+            apply(*message);
         }
-        m_document(std::move(**document));
-        wait(m_settings.pause_after_document);
     }
 }
 
+bool state_source_duty::follows() const {
+    return !m_has_read || std::holds_alternative<continuous_reading>(m_mode);
+}
+
+void state_source_duty::read(const std::stop_token& stop) {
+    auto document = follows() && m_in_position ? m_access.next(stop) : m_access.newest(stop);
+    if (stop.stop_requested()) {
+        return;
+    }
+    if (!document) {
+        wait(failed(document.error()));
+        return;
+    }
+    m_backoff = m_settings.min_backoff;
+    if (!std::exchange(m_reachable, true)) {
+        m_events.emit(event_number::log_reachable_again);
+    }
+    m_in_position = true;
+    m_read_wanted = false;
+    if (!*document) {
+        return;
+    }
+    m_has_read = true;
+    m_document(std::move(**document));
+    wait(m_settings.pause_after_document);
+}
+
+void state_source_duty::apply(const state_source_message& message) {
+    std::visit(common::overloaded{[&](const reading_mode& mode) {
+                                      m_in_position = m_in_position && follows();
+                                      m_mode = mode;
+                                  },
+                                  [&](const read_now&) { m_read_wanted = true; }},
+               message);
+}
+
 milliseconds state_source_duty::failed(const std::string& detail) {
     if (std::exchange(m_reachable, false)) {
         m_events.emit(event_number::log_unreachable, {{"detail", detail}});
@@ -58,7 +87,10 @@
 }
 
 void state_source_duty::wait(milliseconds pause) {
-    m_wake.pop_until(common::steady_clock::now() + pause);
+    const common::steady_time end = common::steady_clock::now() + pause;
+    while (const auto message = m_ring.pop_until(end)) {
+        apply(*message);
+    }
 }
 
 } // namespace boragehollow::daemon
--- a/packages/daemon/tests/state_duty_test.cpp
+++ b/packages/daemon/tests/state_duty_test.cpp
@@ -28,8 +28,12 @@
         : m_events("h", std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}),
           m_duty(decode,
                  {[this](const config::state_in_force& state, const auto&) { add(state); },
-                  [this](const common::endpoint&) { ++m_fetches; }},
-                 16, m_events) {}
+                  [this](const common::endpoint& peer) {
+                      m_last_asked = peer.port;
+                      ++m_fetches;
+                  },
+                  [this] { ++m_platform_reads; }},
+                 16, common::random_source(1), m_events) {}
 
     void add(const config::state_in_force& state) {
         const std::lock_guard lock(m_mutex);
@@ -54,6 +58,8 @@
     mutable std::mutex m_mutex;
     std::vector<std::uint64_t> m_versions;
     std::atomic<int> m_fetches{0};
+    std::atomic<int> m_last_asked{0};
+    std::atomic<int> m_platform_reads{0};
     telemetry::event_log m_events;
     state_duty m_duty;
 };
@@ -92,5 +98,40 @@
     EXPECT_LE(m_fetches, 4);
 }
 
+class state_duty_on_demand_test : public state_duty_test {
+protected:
+    state_duty_on_demand_test() {
+        m_duty.ring().try_push(reading_mode_changed{reading_on_demand{}});
+        give("5");
+        EXPECT_TRUE(eventually([this] { return !versions().empty(); }));
+    }
+};
+
+// Guards against a daemon that does not follow the platform and lets a version that it heard of wait.
+TEST_F(state_duty_on_demand_test, a_version_that_a_peer_has_is_fetched_at_once) {
+    m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 1}, {6}, true});
+    EXPECT_TRUE(eventually([this] { return m_fetches == 1; }, 400ms));
+    EXPECT_EQ(m_platform_reads, 0);
+}
+
+// Guards against a daemon that stays on the old version because the only peer which it asks is frozen.
+TEST_F(state_duty_on_demand_test, without_an_answer_the_next_peer_and_the_platform_are_asked) {
+    m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 1}, {6}, true});
+    ASSERT_TRUE(eventually([this] { return m_fetches == 1; }, 400ms));
+    m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 2}, {6}, false});
+    EXPECT_TRUE(eventually([this] { return m_platform_reads > 0 && m_last_asked == 2; }, 1s));
+}
+
+// Guards against a transfer for each version of a quick series, which fills a slow link.
+TEST_F(state_duty_on_demand_test, a_quick_series_of_versions_costs_few_transfers) {
+    for (std::uint64_t version = 6; version < 26; ++version) {
+        m_duty.ring().try_push(newer_version_seen{{"127.0.0.1", 1}, {version}, true});
+        std::this_thread::sleep_for(25ms);
+        give(std::to_string(version));
+        std::this_thread::sleep_for(25ms);
+    }
+    EXPECT_LE(m_fetches, 5);
+}
+
 } // namespace
 } // namespace boragehollow::daemon
--- /dev/null
+++ b/packages/daemon/tests/state_source_duty_test.cpp
@@ -0,0 +1,104 @@
+#include "boragehollow/daemon/state_source_duty.hpp"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+
+namespace boragehollow::daemon {
+namespace {
+
+using namespace std::chrono_literals;
+
+class state_source_duty_test : public testing::Test {
+protected:
+    state_source_duty_test()
+        : m_events("h", std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}),
+          m_duty(
+              {.pause_after_document = 20ms, .min_backoff = 10ms, .max_backoff = 20ms},
+              {[this](const std::stop_token&) { return read(m_newest_reads); },
+               [this](const std::stop_token&) {
+                   std::this_thread::sleep_for(10ms);
+                   return read(m_next_reads);
+               }},
+              [this](const std::string&) { ++m_documents; }, common::random_source(1), m_events) {}
+
+    tl::expected<std::optional<std::string>, std::string> read(std::atomic<int>& counter) {
+        if (!m_store_answers) {
+            return tl::unexpected<std::string>("away");
+        }
+        ++counter;
+        return m_store_has_document ? std::optional<std::string>("document") : std::nullopt;
+    }
+
+    bool eventually(const std::function<bool()>& condition) const {
+        const auto end = common::steady_clock::now() + 3s;
+        while (!condition() && common::steady_clock::now() < end) {
+            std::this_thread::sleep_for(2ms);
+        }
+        return condition();
+    }
+
+    void become(reading_mode mode) { m_duty.ring().try_push(mode); }
+
+    std::atomic<bool> m_store_answers{true};
+    std::atomic<bool> m_store_has_document{true};
+    std::atomic<int> m_newest_reads{0};
+    std::atomic<int> m_next_reads{0};
+    std::atomic<int> m_documents{0};
+    telemetry::event_log m_events;
+    state_source_duty m_duty;
+};
+
+// Guards against calls to the platform, which are charged for, by a daemon that gets its documents from
+// others.
+TEST_F(state_source_duty_test, a_daemon_on_demand_reads_only_when_told) {
+    ASSERT_TRUE(eventually([this] { return m_documents > 0; }));
+    become(reading_on_demand{});
+    std::this_thread::sleep_for(60ms);
+    const int before = m_newest_reads + m_next_reads;
+    std::this_thread::sleep_for(150ms);
+    EXPECT_EQ(m_newest_reads + m_next_reads, before);
+    m_duty.ring().try_push(read_now{});
+    EXPECT_TRUE(eventually([&] { return m_newest_reads + m_next_reads == before + 1; }));
+}
+
+// Guards against a starting mesh in which nobody reads the first configuration.
+TEST_F(state_source_duty_test, a_daemon_without_a_document_follows_the_platform_in_any_mode) {
+    m_store_has_document = false;
+    become(reading_on_demand{});
+    const int before = m_documents;
+    std::this_thread::sleep_for(100ms);
+    m_store_has_document = true;
+    EXPECT_TRUE(eventually([&] { return m_documents > before; }));
+}
+
+// Guards against versions that are missed between the last read on demand and the first as a follower.
+TEST_F(state_source_duty_test, a_daemon_that_starts_to_follow_reads_the_newest_document_first) {
+    ASSERT_TRUE(eventually([this] { return m_documents > 0; }));
+    become(reading_on_demand{});
+    std::this_thread::sleep_for(60ms);
+    const int before = m_newest_reads;
+    become(continuous_reading{});
+    EXPECT_TRUE(eventually([&] { return m_newest_reads == before + 1; }));
+    const int followed = m_next_reads;
+    EXPECT_TRUE(eventually([&] { return m_next_reads > followed + 1; }));
+    EXPECT_EQ(m_newest_reads, before + 1);
+}
+
+// Guards against a read on demand that is forgotten because the platform was away for a moment.
+TEST_F(state_source_duty_test, a_read_on_demand_is_repeated_until_it_succeeds) {
+    ASSERT_TRUE(eventually([this] { return m_documents > 0; }));
+    become(reading_on_demand{});
+    std::this_thread::sleep_for(60ms);
+    m_store_answers = false;
+    m_duty.ring().try_push(read_now{});
+    std::this_thread::sleep_for(60ms);
+    const int before = m_documents;
+    m_store_answers = true;
+    EXPECT_TRUE(eventually([&] { return m_documents == before + 1; }));
+}
+
+} // namespace
+} // namespace boragehollow::daemon
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -100,6 +100,10 @@
     /// Rate and burst of piggybacked entries; a storm of changes beyond them is left to the reconciliation.
     std::size_t gossip_bytes_per_second = 1200;
     std::size_t gossip_burst_bytes = 16 * 1024;
+    /// Members that are told at once of a version that this daemon has applied; none where the version is
+    /// spread by other means. A log reader tells its own failure domain, any other daemon passes it on.
+    std::size_t version_fan_out_of_reader = 0;
+    std::size_t version_fan_out = 0;
 };
 
 class membership_engine {
@@ -184,6 +188,7 @@
     void declare_dead(common::steady_time now, membership_effects& effects);
     void push_urgent(common::steady_time now, membership_effects& effects);
     void push(const std::vector<member>& mandatory, common::steady_time now, membership_effects& effects);
+    void spread_version(common::steady_time now, membership_effects& effects);
     void report_progress(common::steady_time now, membership_effects& effects);
     void forward_collected(common::steady_time now, membership_effects& effects);
     void start_reconciliation(common::steady_time now, membership_effects& effects);
--- a/packages/membership/src/membership_engine.cpp
+++ b/packages/membership/src/membership_engine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <set>
 #include <utility>
 
@@ -317,12 +318,34 @@
 }
 
 membership_effects membership_engine::note_local_version(common::revision applied, common::steady_time now) {
-    if (applied > m_applied) {
-        m_applied = applied;
-        // Spreads the reports of a domain, which all apply a change at nearly the same time.
-        m_next_progress = std::min(m_next_progress, now + m_random.jitter(std::chrono::seconds(1)));
+    membership_effects effects;
+    if (applied <= m_applied) {
+        return effects;
+    }
+    m_applied = applied;
+    // Spreads the reports of a domain, which all apply a change at nearly the same time.
+    m_next_progress = std::min(m_next_progress, now + m_random.jitter(std::chrono::seconds(1)));
+    if (!has_left()) {
+        spread_version(now, effects);
+    }
+    return effects;
+}
+
+void membership_engine::spread_version(common::steady_time now, membership_effects& effects) {
+    const std::vector<std::string>& readers = roles().readers;
+    const bool reads = std::find(readers.begin(), readers.end(), m_self->host) != readers.end();
+    const std::size_t fan_out = reads ? m_settings.version_fan_out_of_reader : m_settings.version_fan_out;
+    if (fan_out == 0) {
+        return;
+    }
+    std::vector<std::string> told =
+        m_peers.hosts().size() <= fan_out ? m_peers.hosts() : m_peers.pick(fan_out, m_self->host, m_random);
+    // Reaches a failure domain whose own readers are cut off from the platform's log.
+    std::vector<std::string> distant = m_distant.pick(1, m_self->host, m_random);
+    std::move(distant.begin(), distant.end(), std::back_inserter(told));
+    for (const std::string& host : told) {
+        send(m_table.find(host)->gossip, progress_report{m_applied, {}}, {}, now, effects);
     }
-    return {};
 }
 
 membership_effects membership_engine::leave(common::steady_time now) {
--- a/packages/membership/tests/membership_engine_test.cpp
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -313,6 +313,65 @@
     EXPECT_LT(net.run_until(counted, 30s), 5s);
 }
 
+/// Puts `version` in force on `first` and on every member that hears of it, as daemons do that fetch a
+/// version from whoever told them. Returns the time until all members have it.
+std::chrono::milliseconds spread(network& net, const std::string& first, common::revision version) {
+    std::set<std::string> applied{first};
+    net.perform(net.at(first), net.at(first).engine->note_local_version(version, net.now()));
+    const auto pass_on = [&] {
+        for (network::node* observer : net.running()) {
+            if (applied.contains(observer->host)) {
+                continue;
+            }
+            const bool heard = std::any_of(applied.begin(), applied.end(), [&](const std::string& host) {
+                return observer->engine->floor(host) >= version;
+            });
+            if (heard) {
+                applied.insert(observer->host);
+                net.perform(*observer, observer->engine->note_local_version(version, net.now()));
+            }
+        }
+        return applied.size() == net.running().size();
+    };
+    return net.run_until(pass_on, 30s);
+}
+
+engine_settings spreading_versions() {
+    engine_settings settings;
+    settings.version_fan_out_of_reader = 64;
+    settings.version_fan_out = 3;
+    return settings;
+}
+
+// Guards against a new version that daemons which do not read the platform hear of only by regular pings.
+TEST(membership_engine, a_log_reader_tells_its_domain_of_a_version_at_once) {
+    for (const std::uint64_t seed : {41, 42, 43}) {
+        network net(seed, spreading_versions());
+        net.start_domain("a", 40);
+        expect_joined(net, 40);
+        net.loss = 0.05;
+        const std::string reader = log_readers("a", net.at("a-0").engine->live_hosts("a")).front();
+        EXPECT_LT(spread(net, reader, {7}), 300ms) << seed;
+    }
+}
+
+// Guards against a domain that lacks a version for seconds because the platform turns both of its readers
+// away.
+TEST(membership_engine, a_version_reaches_a_domain_whose_readers_do_not_have_it) {
+    for (const std::uint64_t seed : {51, 52, 53, 54, 55}) {
+        network net(seed, spreading_versions());
+        const common::endpoint seed_address = net.start("a-0", "a").address;
+        for (int i = 1; i < 54; ++i) {
+            const std::string domain(1, static_cast<char>('a' + i % 3));
+            net.start(domain + "-" + std::to_string(i), domain, {seed_address});
+        }
+        ASSERT_LT(net.run_until([&] { return all_see(net, 54); }, 60s), 60s) << seed;
+        net.loss = 0.05;
+        const std::string reader = log_readers("a", net.at("a-0").engine->live_hosts("a")).front();
+        EXPECT_LT(spread(net, reader, {9}), 1s) << seed;
+    }
+}
+
 // Guards against a wall clock that was set back, which gives the new process the lower incarnation.
 TEST(membership_engine, a_tombstone_with_a_higher_incarnation_is_overruled) {
     network net(33);
--- a/programs/boragehollowd/document_parts.hpp
+++ b/programs/boragehollowd/document_parts.hpp
@@ -18,6 +18,8 @@
 #include <latch>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace boragehollow::daemon {
 
@@ -28,6 +30,17 @@
     return common::steady_clock::now() + wait;
 }
 
+struct known_peer {
+    common::endpoint address;
+    bool same_domain = false;
+};
+
+/// The document in force as other daemons get it, made when the first one asks.
+struct compressed_document {
+    common::revision version;
+    std::string bytes;
+};
+
 /// Members are destroyed in the reverse order: first the sources, then the duties, then what they share.
 struct document_pipeline::parts {
     explicit parts(settings::daemon_settings given);
@@ -45,7 +58,9 @@
     common::published<config::config_snapshot> snapshot;
     common::published<mesh_view> mesh;
     std::shared_ptr<const membership::target_directory> directory; ///< Used by the membership thread.
-    std::map<std::string, common::endpoint> hosts;                 ///< Used by the membership thread.
+    std::map<std::string, known_peer> hosts;                       ///< Used by the membership thread.
+    std::optional<bool> follows_platform;                          ///< Used by the membership thread.
+    compressed_document compressed;                                ///< Used by the forwarder's thread.
 
     // Duties.
     std::unique_ptr<watch_duty> watch;
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -4,6 +4,7 @@
 #include "document_parts.hpp"
 #include "translation.hpp"
 
+#include "boragehollow/codec/document_compression.hpp"
 #include "boragehollow/codec/member_codec.hpp"
 #include "boragehollow/daemon/target_views.hpp"
 #include "boragehollow/platform/document_codec.hpp"
@@ -41,6 +42,13 @@
 /// A queue longer than this is not worth its wait for callers that can come back.
 constexpr std::chrono::milliseconds longest_queue_wait{1'000};
 
+/// A log reader tells its whole failure domain of a version up to this size; each datagram has about 100
+/// bytes, and a larger domain hears of it from one another.
+constexpr std::size_t version_fan_out_of_reader = 64;
+
+/// Each daemon tells a few others, so that a version also spreads where no log reader can be reached.
+constexpr std::size_t version_fan_out = 3;
+
 const std::string sync_path = "sync";
 const std::string document_path = "document";
 
@@ -80,28 +88,57 @@
     sinks.fetch = when_wired(all, [&all](const common::endpoint& peer) {
         all.forwarder->post(forwarding::ask_peer{
             peer, document_path, {}, control_wait, [&all](std::optional<std::string> body) {
-                if (body) {
-                    all.state->ring().try_push(document_received{std::move(*body), true});
+                if (!body) {
+                    return;
                 }
+                auto document = codec::decompress_document(*body);
+                if (!document) {
+                    all.events.emit(
+                        event_number::peer_message_invalid,
+                        {{"request", document_path}, {"detail", codec::to_string(document.error())}});
+                    return;
+                }
+                all.state->ring().try_push(document_received{std::move(*document), true});
             }});
     });
+    sinks.read_platform = when_wired(all, [&all] { all.state_source->ring().try_push(read_now{}); });
     all.state = std::make_unique<state_duty>(
         [policy = document_policy()](const std::string& text) {
             return platform::decode_document(text, policy);
         },
-        std::move(sinks), state_ring, all.events);
-    const platform::store_client store(*all.settings.platform.log);
+        std::move(sinks), state_ring, common::random_source::from_system(), all.events);
+    const auto reader =
+        std::make_shared<platform::document_reader>(platform::store_client(*all.settings.platform.log));
     all.state_source = std::make_unique<state_source_duty>(
         state_source_settings{},
-        [reader = platform::document_reader(store)](const std::stop_token& stop) mutable {
-            return reader.poll(stop);
-        },
+        document_access{[reader](const std::stop_token& stop) { return reader->newest(stop); },
+                        [reader](const std::stop_token& stop) { return reader->poll(stop); }},
         [&all](std::string document) {
             all.state->ring().push_until(document_received{std::move(document), false}, after(control_wait));
         },
         common::random_source::from_system(), all.events);
 }
 
+bool follows_platform(const mesh_view& mesh) {
+    const std::vector<std::string> readers = mesh.readers(mesh.own_domain);
+    return std::find(readers.begin(), readers.end(), mesh.own_host) != readers.end();
+}
+
+/// The log readers of a failure domain follow the platform's documents; the others get them from daemons
+/// that have them, since each read of the store is charged for.
+void choose_reading_mode(document_pipeline::parts& all, const mesh_view& mesh) {
+    const bool follows = follows_platform(mesh);
+    if (all.follows_platform == follows) {
+        return;
+    }
+    all.follows_platform = follows;
+    const reading_mode mode =
+        follows ? reading_mode(continuous_reading{}) : reading_mode(reading_on_demand{});
+    all.events.emit(follows ? event_number::log_reader_started : event_number::log_reader_stopped);
+    all.state_source->ring().push_newest(mode);
+    all.state->ring().push_newest(reading_mode_changed{mode});
+}
+
 /// Targets whose lists changed since the previous directory.
 forwarding::targets_changed changed_targets(const membership::target_directory* previous,
                                             const membership::target_directory& directory) {
@@ -164,17 +201,22 @@
     sinks.mesh = when_wired(all, [&all](std::shared_ptr<const mesh_view> mesh) {
         all.hosts.clear();
         for (const auto& [host, member] : mesh->hosts) {
-            all.hosts.emplace(host, member->peer);
+            all.hosts.emplace(host, known_peer{member->peer, member->failure_domain == mesh->own_domain});
         }
+        choose_reading_mode(all, *mesh);
         all.mesh.store(std::move(mesh));
     });
     sinks.version_heard = when_wired(all, [&all](const std::string& host, common::revision version) {
         const auto known = all.hosts.find(host);
         if (known != all.hosts.end()) {
-            all.state->ring().try_push(newer_version_seen{known->second, version});
+            all.state->ring().try_push(
+                newer_version_seen{known->second.address, version, known->second.same_domain});
         }
     });
-    membership::membership_engine engine(std::move(self), settings.gossip.seeds, engine_settings_of(settings),
+    membership::engine_settings engine_settings = engine_settings_of(settings);
+    engine_settings.version_fan_out_of_reader = version_fan_out_of_reader;
+    engine_settings.version_fan_out = version_fan_out;
+    membership::membership_engine engine(std::move(self), settings.gossip.seeds, engine_settings,
                                          common::random_source::from_system(), common::steady_clock::now());
     all.membership = std::make_unique<membership_duty>(
         std::move(engine), std::move(socket), settings.identity.mesh, all.clock, all.links,
@@ -184,7 +226,16 @@
         registry_access{[registry, host = settings.identity.host, gossip](const std::stop_token& stop) {
                             return registry.enter(host, gossip, stop);
                         },
-                        [registry](const std::stop_token& stop) { return registry.list(stop); }},
+                        [registry](const std::stop_token& stop) { return registry.list(stop); },
+                        [&all] {
+                            const auto mesh = all.mesh.load();
+                            return !mesh || mesh->hosts.size() <= 1 ||
+                                   mesh->count(membership::member_state::alive) <= 1;
+                        },
+                        [&all] {
+                            const auto mesh = all.mesh.load();
+                            return !mesh || follows_platform(*mesh);
+                        }},
         when_wired(all,
                    [&all](std::vector<common::endpoint> seeds) {
                        all.membership->ring().push_until(seeds_found{std::move(seeds)}, after(control_wait));
@@ -238,7 +289,14 @@
                  std::function<void(std::optional<std::string>)> answer) {
     if (path == document_path) {
         const auto document = all.state->document();
-        answer(document ? std::optional(document->document) : std::nullopt);
+        if (!document) {
+            answer(std::nullopt);
+            return;
+        }
+        if (all.compressed.version != document->version) {
+            all.compressed = {document->version, codec::compress_document(document->document)};
+        }
+        answer(all.compressed.bytes);
         return;
     }
     peer::v1::SyncRequest message;
