Let the target's daemon give out windows of its link for large bodies

Cause: on the grown deployments a target's daemon has a link of 7 to 23 Mbit/s, and uploads that come together fill it. The logs show the gates idle: overhead is the caller's elapsed time less wait and work at the gate. Ruled out: wrong choice of targets. Change: a body over 16 KB is announced first. The target's daemon books 60 % of its link (limits.link_megabits) in turn and answers with a window, or refuses where it would begin more than 0.5 s later; the body is written in parts over the window. A refusal reaches the caller at once, with the time until the link is free.

--- /dev/null
+++ b/packages/admission/tests/transfer_schedule_test.cpp
@@ -0,0 +1,62 @@
+#include "boragehollow/admission/transfer_schedule.hpp"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace boragehollow::admission {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t body = 280'000;
+
+// Guards against uploads that fill a link of 23 Mbit/s together, while small calls wait for half a second
+// behind them, as at a crest of 12 uploads a second for each target.
+TEST(transfer_schedule, bodies_that_come_together_leave_part_of_the_link_free) {
+    transfer_schedule schedule(23.1);
+    const common::steady_time start(1h);
+    std::vector<std::pair<std::chrono::milliseconds, std::chrono::milliseconds>> granted;
+    int refused = 0;
+    for (int i = 0; i < 120; ++i) {
+        const auto now = start + i * 83ms;
+        const auto offset = std::chrono::duration_cast<std::chrono::milliseconds>(now - start);
+        if (const auto window = schedule.reserve(body, now)) {
+            granted.emplace_back(offset + window->begin_after,
+                                 offset + window->begin_after + window->duration);
+            continue;
+        }
+        ++refused;
+    }
+    const double megabits = static_cast<double>(granted.size() * body) * 8 / 1e6 / 10.5;
+    EXPECT_LT(megabits, 23.1 * 0.65);
+    EXPECT_GT(megabits, 23.1 * 0.5);
+    EXPECT_GT(refused, 30);
+    for (std::size_t i = 1; i < granted.size(); ++i) {
+        EXPECT_GE(granted[i].first + 2ms, granted[i - 1].second) << i;
+    }
+}
+
+// Guards against a fast link on which uploads wait for no reason.
+TEST(transfer_schedule, a_fast_link_takes_a_body_at_once) {
+    transfer_schedule schedule(1'000);
+    const auto window = schedule.reserve(body, common::steady_time(1h));
+    ASSERT_TRUE(window);
+    EXPECT_EQ(window->begin_after, 0ms);
+    EXPECT_LE(window->duration, 4ms);
+}
+
+// Guards against advice that sends callers back before the link is free.
+TEST(transfer_schedule, a_refusal_says_when_the_link_is_free) {
+    transfer_schedule schedule(7);
+    const common::steady_time now(1h);
+    tl::expected<transfer_window, std::chrono::milliseconds> last = schedule.reserve(body, now);
+    while (last) {
+        last = schedule.reserve(body, now);
+    }
+    EXPECT_GT(last.error(), 500ms);
+    EXPECT_TRUE(schedule.reserve(body, now + last.error()));
+}
+
+} // namespace
+} // namespace boragehollow::admission
--- a/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
@@ -45,11 +45,15 @@
 private:
     struct call;
     struct attempt;
+    struct reservation;
 
     asio::awaitable<attempt> try_target(const call& current, const balancing::attempt_choice& choice,
                                         cancellation_ptr cancelled);
     asio::awaitable<attempt> ask_daemon(const call& current, const balancing::attempt_choice& choice,
-                                        request_message request, cancellation_ptr cancelled);
+                                        request_message request, std::chrono::milliseconds body_spread,
+                                        cancellation_ptr cancelled);
+    asio::awaitable<reservation> reserve(const call& current, const balancing::attempt_choice& choice,
+                                         hop_call hop, cancellation_ptr cancelled);
     attempt read_report(const call& current, const balancing::attempt_choice& choice,
                         response_message response);
     std::optional<response_message> begin(const request_message& request, call& current);
--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -39,6 +39,9 @@
     /// ones.
     std::function<bool(const response_message&)> accepts;
     std::size_t largest_body = 16ULL * 1024 * 1024;
+    /// A large body is written in parts over this time, so that the small messages of other calls pass
+    /// between its parts. 0: at once.
+    std::chrono::milliseconds body_spread{0};
 };
 
 struct pool_counters {
@@ -76,6 +79,7 @@
     open(common::endpoint remote, const exchange_options& options, cancellation_ptr cancelled);
     asio::awaitable<tl::expected<response_message, exchange_error>>
     read_response(connection_ptr link, bool head_request, const exchange_options& options);
+    asio::awaitable<void> write_large(connection_ptr link, std::chrono::milliseconds spread);
     void keep(const common::endpoint& remote, connection_ptr link, const response_message& response);
 
     asio::io_context& m_context;
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -68,6 +68,7 @@
     common::endpoint peers;   ///< Where other daemons connect.
     router_settings router;
     admission::admission_settings admission;
+    double link_megabits = 1'000; ///< Rate of this host's link, in Mbit/s.
     std::size_t ring_size = 1'024;
 };
 
--- a/packages/forwarding/include/boragehollow/forwarding/hop_headers.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/hop_headers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "boragehollow/admission/messages.hpp"
+#include "boragehollow/admission/transfer_schedule.hpp"
 #include "boragehollow/balancing/attempt.hpp"
 #include "boragehollow/common/revision.hpp"
 #include "boragehollow/forwarding/asio.hpp"
@@ -27,6 +28,8 @@
     std::optional<std::chrono::microseconds> aim_left;
     bool accepts_late = true; ///< The call waits although its answer will miss the aim.
     common::revision config_version;
+    /// Size of the body that the caller's daemon wants to send. The request then only asks when.
+    std::optional<std::size_t> transfer_bytes;
 };
 
 /// What the target's daemon says with each answer.
@@ -35,6 +38,7 @@
     refused,  ///< The call did not reach the target.
     unsent,   ///< The target's daemon could not connect to it.
     lost,     ///< Sent to the target, without a complete response.
+    reserved, ///< Nothing was sent to the target; the body may be sent in the window.
 };
 
 struct hop_report {
@@ -44,6 +48,7 @@
     std::optional<balancing::piggybacked_load> load;
     common::revision config_version;
     std::chrono::microseconds service_time{0};
+    admission::transfer_window window; ///< Of a reservation.
 };
 
 void write_hop_call(const hop_call& call, request_message& request);
--- a/packages/forwarding/include/boragehollow/forwarding/local_target.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/local_target.hpp
@@ -31,14 +31,18 @@
 class local_target {
 public:
     /// `unreachable` is told when the target refuses connections.
+    /// `link_megabits` is the rate of this host's link, in Mbit/s.
     local_target(asio::io_context& context, header_names names, admission::admission_settings settings,
-                 const telemetry::event_log& events, std::function<void()> unreachable);
+                 double link_megabits, const telemetry::event_log& events, std::function<void()> unreachable);
 
     void set_instance(std::optional<target_instance> instance);
     void set_policy(const config::admission_policy& policy);
     /// Refuses what is queued and all later calls; calls at the target continue.
     void start_drain();
 
+    /// Books the transfer of a large body to this host. The response carries a hop report and nothing else.
+    response_message reserve(const hop_call& call, std::size_t bytes);
+
     /// The response carries a hop report.
     asio::awaitable<response_message> run(hop_call call, request_message request, cancellation_ptr cancelled);
 
@@ -67,6 +71,7 @@
     call_log m_log;
     std::function<void()> m_unreachable;
     admission::admission_controller m_admission;
+    admission::transfer_schedule m_transfers;
     connection_pool m_pool;
     std::optional<target_instance> m_instance;
     common::revision m_config_version;
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -23,6 +23,13 @@
 constexpr milliseconds hop_connect_timeout{350};
 constexpr milliseconds hop_longest_idle{6'000};
 
+/// A larger body is sent when the target's daemon has room for it on its link: a reservation costs a round
+/// trip of one or two milliseconds, and this much takes 20 ms on a link of 7 Mbit/s.
+constexpr std::size_t largest_unreserved_body = 16 * 1024;
+
+/// A daemon that is busy answers a reservation within this time.
+constexpr milliseconds reservation_timeout{400};
+
 /// Advice of a daemon that has no configuration yet; a start takes about this long.
 constexpr milliseconds no_config_retry{400};
 /// Advice where no target is known: the announcements of new ones arrive within about a second.
@@ -69,6 +76,11 @@
     bool cancelled = false;
 };
 
+struct call_router::reservation {
+    admission::transfer_window window;
+    std::optional<attempt> failed; ///< Set where the body must not be sent.
+};
+
 call_router::call_router(asio::io_context& context, router_settings settings, local_target& own_target,
                          common::random_source random, const telemetry::event_log& events,
                          telemetry::metric_registry& metrics, newer_config_sink newer_config)
@@ -265,20 +277,71 @@
         }
         co_return read_report(current, choice, std::move(response));
     }
+    milliseconds body_spread{0};
+    if (request.body().size() > largest_unreserved_body) {
+        reservation reserved = co_await reserve(current, choice, hop, cancelled);
+        if (reserved.failed) {
+            co_return std::move(*reserved.failed);
+        }
+        body_spread = reserved.window.duration;
+        hop.time_left = microseconds_between(common::steady_clock::now(), current.deadline);
+    }
     write_hop_call(hop, request);
-    co_return co_await ask_daemon(current, choice, std::move(request), cancelled);
+    co_return co_await ask_daemon(current, choice, std::move(request), body_spread, cancelled);
 }
 
-asio::awaitable<call_router::attempt> call_router::ask_daemon(const call& current,
-                                                              const balancing::attempt_choice& choice,
-                                                              request_message request,
-                                                              cancellation_ptr cancelled) {
+/// Asks the target's daemon when the body may be sent, and waits until then.
+asio::awaitable<call_router::reservation> call_router::reserve(const call& current,
+                                                               const balancing::attempt_choice& choice,
+                                                               hop_call hop, cancellation_ptr cancelled) {
+    hop.transfer_bytes = current.request.body().size();
+    request_message question{http::verb::get, "/", 11};
+    write_hop_call(hop, question);
+    question.keep_alive(true);
+    question.prepare_payload();
+    exchange_options options;
+    options.deadline = std::min(current.deadline, common::steady_clock::now() + reservation_timeout);
+    options.connect_timeout = hop_connect_timeout;
+    options.longest_idle = hop_longest_idle;
+    auto response = co_await m_pool.exchange(choice.peer, std::move(question), std::move(options), cancelled);
+    const auto report = response ? take_hop_report(*response) : std::nullopt;
+    reservation result;
+    if (cancelled->requested()) {
+        result.failed = attempt{};
+        result.failed->cancelled = true;
+        result.failed->outcome = attempt_outcome::cancelled;
+        result.failed->detail = "caller left";
+        co_return result;
+    }
+    if (!report || report->outcome != hop_outcome::reserved) {
+        // The body stays here, so that the call certainly has not run.
+        result.failed = attempt{};
+        result.failed->detail = report ? report->reason : "no reservation";
+        result.failed->end = report ? balancing::attempt_end(balancing::daemon_refused{report->retry_after})
+                                    : balancing::attempt_end(balancing::never_sent{});
+        result.failed->outcome = report ? attempt_outcome::refused : attempt_outcome::failed;
+        result.failed->load = report ? report->load : std::nullopt;
+        co_return result;
+    }
+    result.window = report->window;
+    if (result.window.begin_after.count() > 0) {
+        asio::steady_timer pause(m_context, result.window.begin_after);
+        error_code ignored;
+        co_await pause.async_wait(result_in(ignored));
+    }
+    co_return result;
+}
+
+asio::awaitable<call_router::attempt>
+call_router::ask_daemon(const call& current, const balancing::attempt_choice& choice, request_message request,
+                        milliseconds body_spread, cancellation_ptr cancelled) {
     request.keep_alive(true);
     request.prepare_payload();
     exchange_options options;
     options.deadline = current.deadline + hop_grace;
     options.connect_timeout = hop_connect_timeout;
     options.longest_idle = hop_longest_idle;
+    options.body_spread = body_spread;
     auto response = co_await m_pool.exchange(choice.peer, std::move(request), std::move(options), cancelled);
     if (response) {
         co_return read_report(current, choice, std::move(*response));
@@ -332,6 +395,7 @@
     case hop_outcome::unsent:
         ended.end = balancing::never_sent{};
         break;
+    case hop_outcome::reserved: // No answer to a call.
     case hop_outcome::lost:
         ended.end = balancing::outcome_lost{};
         break;
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -28,6 +28,10 @@
 /// A body up to this size fits into the socket's buffers, so that it is written before the response is read.
 constexpr std::size_t small_body = 8 * 1024;
 
+/// Part of a large body that is written at once. A link of 7 Mbit/s carries it in 9 ms, which is what another
+/// message waits behind it.
+constexpr std::size_t body_part = 8 * 1024;
+
 constexpr std::size_t largest_header = 64 * 1024;
 
 /// Unacknowledged data ends a connection after this time; several retransmissions fit into it.
@@ -168,6 +172,21 @@
     co_return tl::unexpected(exchange_error{exchange_error_kind::lost, "responses of other requests"});
 }
 
+asio::awaitable<void> connection_pool::write_large(connection_ptr link, milliseconds spread) {
+    http::request_serializer<http::string_body> serializer(link->request);
+    serializer.limit(body_part);
+    const std::size_t parts = link->request.body().size() / body_part + 1;
+    const auto pause = std::chrono::duration_cast<std::chrono::microseconds>(spread) / parts;
+    asio::steady_timer timer(m_context, common::steady_clock::now());
+    while (!serializer.is_done() && !link->write_error) {
+        error_code ignored;
+        co_await timer.async_wait(result_in(ignored));
+        co_await http::async_write_some(link->stream, serializer, result_in(link->write_error));
+        timer.expires_at(timer.expiry() + pause);
+    }
+    link->written = true;
+}
+
 void connection_pool::keep(const common::endpoint& remote, connection_ptr link,
                            const response_message& response) {
     auto& idle = m_idle[remote];
@@ -212,14 +231,7 @@
         link->written = true;
     } else {
         // A target may answer before it has read a long body, so the body is written beside the read.
-        asio::co_spawn(
-            m_context,
-            [](connection_ptr writing) -> asio::awaitable<void> {
-                co_await http::async_write(writing->stream, writing->request,
-                                           result_in(writing->write_error));
-                writing->written = true;
-            }(link),
-            asio::detached);
+        asio::co_spawn(m_context, write_large(link, options.body_spread), asio::detached);
     }
     auto response = co_await read_response(link, head_request, options);
     if (cancelled->requested()) {
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -41,8 +41,9 @@
 forwarder::forwarder(const forwarder_settings& settings, forwarder_sinks sinks,
                      const telemetry::event_log& events, telemetry::metric_registry& metrics)
     : m_settings(settings), m_sinks(std::move(sinks)), m_events(events), m_metrics(metrics),
-      m_ring(settings.ring_size), m_target(m_context, settings.router.names, settings.admission, events,
-                                           [this] { m_sinks.target_unreachable(); }),
+      m_ring(settings.ring_size),
+      m_target(m_context, settings.router.names, settings.admission, settings.link_megabits, events,
+               [this] { m_sinks.target_unreachable(); }),
       m_router(m_context, settings.router, m_target, common::random_source::from_system(), events, metrics,
                [this](const common::endpoint& peer, common::revision version) {
                    m_sinks.newer_config(peer, version);
@@ -228,6 +229,9 @@
         refused.prepare_payload();
         co_return refused;
     }
+    if (call->transfer_bytes) {
+        co_return m_target.reserve(*call, *call->transfer_bytes);
+    }
     ++m_open_calls;
     const common::scope_guard ended([this] { --m_open_calls; });
     remove_connection_headers(request);
--- a/packages/forwarding/src/hop_headers.cpp
+++ b/packages/forwarding/src/hop_headers.cpp
@@ -23,6 +23,9 @@
 constexpr std::string_view time_left_name = "bh-time-left-us";
 constexpr std::string_view aim_left_name = "bh-aim-left-us";
 constexpr std::string_view accepts_late_name = "bh-accepts-late";
+constexpr std::string_view transfer_bytes_name = "bh-transfer-bytes";
+constexpr std::string_view begin_after_name = "bh-begin-after-ms";
+constexpr std::string_view duration_name = "bh-duration-ms";
 constexpr std::string_view version_name = "bh-config-version";
 constexpr std::string_view outcome_name = "bh-outcome";
 constexpr std::string_view reason_name = "bh-reason";
@@ -37,6 +40,7 @@
     std::pair{hop_outcome::refused, std::string_view("refused")},
     std::pair{hop_outcome::unsent, std::string_view("unsent")},
     std::pair{hop_outcome::lost, std::string_view("lost")},
+    std::pair{hop_outcome::reserved, std::string_view("reserved")},
 };
 
 template <class Text>
@@ -107,6 +111,9 @@
     }
     set_number(request, accepts_late_name, call.accepts_late ? 1 : 0);
     set_number(request, version_name, call.config_version.value);
+    if (call.transfer_bytes) {
+        set_number(request, transfer_bytes_name, *call.transfer_bytes);
+    }
 }
 
 std::optional<hop_call> take_hop_call(request_message& request) {
@@ -132,6 +139,7 @@
     }
     call.accepts_late = number_in(request, accepts_late_name).value_or(1) == 1;
     call.config_version = {*version};
+    call.transfer_bytes = number_in(request, transfer_bytes_name);
     if (call.service.empty()) {
         return std::nullopt;
     }
@@ -155,6 +163,10 @@
     }
     set_number(response, service_time_name, static_cast<std::uint64_t>(report.service_time.count()));
     set_number(response, version_name, report.config_version.value);
+    if (report.outcome == hop_outcome::reserved) {
+        set_number(response, begin_after_name, static_cast<std::uint64_t>(report.window.begin_after.count()));
+        set_number(response, duration_name, static_cast<std::uint64_t>(report.window.duration.count()));
+    }
 }
 
 std::optional<hop_report> take_hop_report(response_message& response) {
@@ -176,6 +188,8 @@
     }
     report.service_time = microseconds(number_in(response, service_time_name).value_or(0));
     report.config_version = {number_in(response, version_name).value_or(0)};
+    report.window = {milliseconds(number_in(response, begin_after_name).value_or(0)),
+                     milliseconds(number_in(response, duration_name).value_or(0))};
     remove_hop_headers(response);
     return report;
 }
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -49,10 +49,10 @@
 };
 
 local_target::local_target(asio::io_context& context, header_names names,
-                           admission::admission_settings settings, const telemetry::event_log& events,
-                           std::function<void()> unreachable)
+                           admission::admission_settings settings, double link_megabits,
+                           const telemetry::event_log& events, std::function<void()> unreachable)
     : m_context(context), m_names(std::move(names)), m_log(events), m_unreachable(std::move(unreachable)),
-      m_admission(settings), m_pool(context), m_tick(context) {}
+      m_admission(settings), m_transfers(link_megabits), m_pool(context), m_tick(context) {}
 
 void local_target::set_instance(std::optional<target_instance> instance) {
     if (m_instance && (!instance || instance->id != m_instance->id)) {
@@ -212,6 +212,35 @@
     return report(std::move(refused), std::nullopt);
 }
 
+response_message local_target::reserve(const hop_call& call, std::size_t bytes) {
+    const common::steady_time now = common::steady_clock::now();
+    hop_report answer;
+    answer.outcome = hop_outcome::refused;
+    const bool serves = m_instance && m_instance->service == call.service &&
+                        m_instance->state == admission::target_state::ready;
+    if (!serves) {
+        answer.reason = admission::to_string(admission::refusal_reason::no_target);
+        return report(std::move(answer), std::nullopt);
+    }
+    const auto window = m_transfers.reserve(bytes, now);
+    if (window) {
+        answer.outcome = hop_outcome::reserved;
+        answer.window = *window;
+        return report(std::move(answer), std::nullopt);
+    }
+    answer.reason = "link_busy";
+    answer.retry_after = window.error();
+    m_log.write(event_number::call_not_admitted,
+                {{"request", call.request_id},
+                 {"from", call.caller_host},
+                 {"service", call.service},
+                 {"reason", answer.reason},
+                 {"bytes", bytes},
+                 {"retry_after", answer.retry_after}},
+                now);
+    return report(std::move(answer), std::nullopt);
+}
+
 asio::awaitable<response_message> local_target::run(hop_call call, request_message request,
                                                     cancellation_ptr cancelled) {
     const common::steady_time received = common::steady_clock::now();
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -69,6 +69,16 @@
         m_forwarder->post(targets_changed{{{"desk", {view}}}});
     }
 
+    /// From now on calls go to the daemon of another host.
+    void move_target(const common::endpoint& daemon) {
+        balancing::target_view view;
+        view.host = "h2";
+        view.failure_domain = "z";
+        view.peer = daemon;
+        view.slots = 4;
+        m_forwarder->post(targets_changed{{{"desk", {view}}}});
+    }
+
     common::endpoint callers() const { return m_forwarder->callers(); }
     forwarder& get() { return *m_forwarder; }
 
@@ -123,6 +133,65 @@
     }
 }
 
+std::string upload(const std::string& id) {
+    const std::string body(60'000, 'u');
+    return request("POST", "/order/a", id, "Content-Length: " + std::to_string(body.size()) + "\r\n") + body;
+}
+
+// Guards against an upload that crosses the mesh although its target's link has no room, and against a
+// refusal of it that keeps the caller waiting.
+TEST(Forwarder, RefusesALargeBodyAtOnceWhereNoLinkHasRoom) {
+    std::atomic<int> bodies{0};
+    scripted_server other([&](tcp::socket& socket, const std::string& head) {
+        bodies += header(head, "bh-transfer-bytes").empty() ? 1 : 0;
+        send(socket, "HTTP/1.1 503 Busy\r\nbh-outcome: refused\r\nbh-reason: link_busy\r\n"
+                     "bh-retry-after-ms: 700\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    daemon_under_test daemon(other.address());
+    daemon.move_target(other.address());
+    raw_client caller(daemon.callers());
+    const auto begun = common::steady_clock::now();
+    caller.write(upload("u1"));
+    const std::string response = caller.read();
+    EXPECT_LT(common::steady_clock::now() - begun, 500ms);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503"));
+    EXPECT_GE(std::stod(header(response, "Retry-After")), 0.7);
+    EXPECT_EQ(bodies, 0);
+}
+
+// Guards against a body that is sent before its window, or faster than the target's daemon asked for.
+TEST(Forwarder, SendsALargeBodyInItsWindow) {
+    std::atomic<std::int64_t> begun_after{0};
+    std::atomic<std::int64_t> took{0};
+    common::steady_time reserved;
+    scripted_server other([&](tcp::socket& socket, const std::string& head) {
+        if (!header(head, "bh-transfer-bytes").empty()) {
+            reserved = common::steady_clock::now();
+            send(socket, "HTTP/1.1 503 Later\r\nbh-outcome: reserved\r\nbh-begin-after-ms: 120\r\n"
+                         "bh-duration-ms: 200\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        }
+        const auto begun = common::steady_clock::now();
+        begun_after = std::chrono::duration_cast<std::chrono::milliseconds>(begun - reserved).count();
+        std::string body(50'000, ' ');
+        error_code failed;
+        asio::read(socket, asio::buffer(body), failed);
+        const auto ended = common::steady_clock::now();
+        took = std::chrono::duration_cast<std::chrono::milliseconds>(ended - begun).count();
+        send(socket, "HTTP/1.1 200 OK\r\nbh-outcome: answered\r\nX-Id: u1\r\nConnection: close\r\n"
+                     "Content-Length: 2\r\n\r\nok");
+        return false;
+    });
+    daemon_under_test daemon(other.address());
+    daemon.move_target(other.address());
+    raw_client caller(daemon.callers());
+    caller.write(upload("u1"));
+    EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200"));
+    EXPECT_GE(begun_after, 115);
+    EXPECT_GE(took, 100);
+}
+
 // Guards against the bytes behind a complete answer, or a second answer, that reach another request.
 TEST(Forwarder, KeepsExtraAnswersFromOtherRequests) {
     scripted_server target([](tcp::socket& socket, const std::string& head) {
--- a/packages/forwarding/tests/hop_headers_test.cpp
+++ b/packages/forwarding/tests/hop_headers_test.cpp
@@ -10,8 +10,8 @@
 // Guards against a fact of a call that is lost between two daemons, and against headers that reach the
 // target.
 TEST(HopHeaders, CarryACallAndLeaveNothingBehind) {
-    hop_call call{"desk", "h1",  "drawings", "id-1", config::work_class::long_work, true, 3,
-                  1500us, 700us, false,      {7}};
+    hop_call call{"desk", "h1",  "drawings", "id-1", config::work_class::long_work, true, 3, 1500us,
+                  700us,  false, {7},        60'000};
     request_message request{http::verb::get, "/x", 11};
     request.set("X-Other", "kept");
     write_hop_call(call, request);
@@ -28,6 +28,7 @@
     EXPECT_EQ(read->aim_left, 700us);
     EXPECT_FALSE(read->accepts_late);
     EXPECT_EQ(read->config_version.value, 7U);
+    EXPECT_EQ(read->transfer_bytes, 60'000U);
     EXPECT_EQ(std::distance(request.begin(), request.end()), 1);
 }
 
--- a/packages/settings/src/entries.cpp
+++ b/packages/settings/src/entries.cpp
@@ -106,6 +106,9 @@
         ring("rings.peer_sender", at<&root::rings, &ring_settings::peer_sender>, 1024,
              "Control requests to peers."),
 
+        {"limits.link_megabits",
+         rate_entry{at<&root::limits, &limit_settings::link_megabits>, 1'000, 0.1, 1'000'000, "Mbit/s"},
+         "Rate of this host's link. Other daemons send large bodies at a part of it."},
         size("limits.operator_body_bytes", at<&root::limits, &limit_settings::operator_body_bytes>, mib, kib,
              64 * mib, "bytes", "Largest request body of an operator."),
         size("limits.header_bytes", at<&root::limits, &limit_settings::header_bytes>, 16 * kib, kib, mib,
--- a/packages/settings/src/entries.hpp
+++ b/packages/settings/src/entries.hpp
@@ -50,6 +50,15 @@
     std::string_view unit;
 };
 
+/// Number with a fraction.
+struct rate_entry {
+    place<double> at;
+    double fallback;
+    double least;
+    double most;
+    std::string_view unit;
+};
+
 struct count_entry {
     place<std::uint32_t> at;
     std::uint32_t fallback;
@@ -84,7 +93,7 @@
 };
 
 using entry_kind = std::variant<name_entry, optional_name_entry, endpoint_entry, optional_endpoint_entry,
-                                endpoint_list_entry, size_entry, count_entry, duration_entry,
+                                endpoint_list_entry, size_entry, rate_entry, count_entry, duration_entry,
                                 optional_duration_entry, flag_entry, choice_entry>;
 
 struct entry {
--- a/packages/settings/src/load.cpp
+++ b/packages/settings/src/load.cpp
@@ -147,6 +147,18 @@
         return read_number(node, kind.at(settings), kind.least, kind.most);
     }
 
+    problem operator()(const rate_entry& kind) const {
+        const auto value = node.value<double>();
+        // Written so that a value which is no number fails as well.
+        if (!value || !(*value >= kind.least && *value <= kind.most)) {
+            std::ostringstream text;
+            text << "must be a number from " << kind.least << " to " << kind.most;
+            return text.str();
+        }
+        kind.at(settings) = *value;
+        return std::nullopt;
+    }
+
     problem operator()(const count_entry& kind) const {
         return read_number(node, kind.at(settings), kind.least, kind.most);
     }
--- a/packages/settings/src/reference.cpp
+++ b/packages/settings/src/reference.cpp
@@ -44,6 +44,13 @@
                                   range(std::to_string(each.least), std::to_string(each.most)),
                               code(std::to_string(each.fallback))};
         },
+        [](const rate_entry& each) {
+            std::ostringstream limits;
+            limits << each.least << " to " << each.most;
+            std::ostringstream fallback;
+            fallback << each.fallback;
+            return entry_text{std::string(each.unit) + ", " + limits.str(), code(fallback.str())};
+        },
         [](const count_entry& each) {
             return entry_text{"number, " + range(std::to_string(each.least), std::to_string(each.most)),
                               code(std::to_string(each.fallback))};
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -327,6 +327,7 @@
     forwarding.router.names = platform::wire_header_names();
     forwarding.router.balancing = {settings.identity.failure_domain, settings.calls.key_window};
     forwarding.admission = {settings.calls.longest_deadline, settings.calls.key_window};
+    forwarding.link_megabits = settings.limits.link_megabits;
     forwarding.ring_size = settings.rings.dispatch;
     forwarding::forwarder_sinks sinks;
     sinks.peer_request = when_wired(all, [&all](const std::string& path, const std::string& body,
