--- a/packages/telemetry/src/event_catalogue.cpp
+++ b/packages/telemetry/src/event_catalogue.cpp
@@ -84,7 +84,7 @@
     {event::config_schema_activated, info, channel::config, "config_schema_activated",
      "A newer schema of configuration records is in force."},
     {event::config_fetched_from_peer, info, channel::config, "config_fetched_from_peer",
-     "A newer configuration was fetched from another daemon, since the platform did not deliver it in time."},
+     "A newer configuration was fetched from another daemon."},
     {event::spread_records_received, debug, channel::spreading, "spread_records_received",
      "Configuration records arrived from a peer."},
     {event::spread_pull_answered, debug, channel::spreading, "spread_pull_answered",
--- a/programs/boragehollowd/document_parts.hpp
+++ b/programs/boragehollowd/document_parts.hpp
@@ -58,6 +58,7 @@
     common::published<config::config_snapshot> snapshot;
     common::published<mesh_view> mesh;
     std::shared_ptr<const membership::target_directory> directory; ///< Used by the membership thread.
+    common::endpoint gossip;                                       ///< As bound.
     std::map<std::string, known_peer> hosts;                       ///< Used by the membership thread.
     std::optional<bool> follows_platform;                          ///< Used by the membership thread.
     compressed_document compressed;                                ///< Used by the forwarder's thread.
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -187,7 +187,7 @@
 void join_membership(document_pipeline::parts& all, transport::udp_socket socket) {
     const settings::daemon_settings& settings = all.settings;
     membership::member self = own_member(settings, socket.local(), all.forwarder->peers());
-    const common::endpoint gossip = self.gossip;
+    all.gossip = self.gossip;
     membership_sinks sinks;
     sinks.sync = when_wired(
         all, [&all](const std::string& host, const common::endpoint& peer,
@@ -223,9 +223,8 @@
         settings.rings.membership, std::move(sinks), all.events);
     const platform::host_registry registry{platform::store_client(*settings.platform.log)};
     all.registry = std::make_unique<registry_duty>(
-        registry_access{[registry, host = settings.identity.host, gossip](const std::stop_token& stop) {
-                            return registry.enter(host, gossip, stop);
-                        },
+        registry_access{[registry, host = settings.identity.host, gossip = all.gossip](
+                            const std::stop_token& stop) { return registry.enter(host, gossip, stop); },
                         [registry](const std::stop_token& stop) { return registry.list(stop); },
                         [&all] {
                             const auto mesh = all.mesh.load();
@@ -394,6 +393,7 @@
     settings::listener_settings bound = m_parts->settings.listeners;
     bound.callers = m_parts->forwarder->callers();
     bound.peer = m_parts->forwarder->peers();
+    bound.gossip = m_parts->gossip;
     bound.operators = m_parts->operator_server->local();
     bound.target = m_parts->target_server->local();
     if (m_parts->readiness_server) {
