Give large bodies three quarters of a link

Cause: at the crest of inkwi grown uploads are refused (1,230 to 1,601 of 5,300 to 6,500) though part of each link stays free: 60 % was booked. Change: 75 %, and a wait of up to 0.6 s; the bounds of the schedule's test follow the share.

--- a/packages/admission/src/transfer_schedule.cpp
+++ b/packages/admission/src/transfer_schedule.cpp
@@ -12,11 +12,11 @@
 
 /// Share of the link that large bodies get. The rest is for small messages, and for the bodies of this host's
 /// own callers, which arrive without a reservation.
-constexpr double booked_share = 0.6;
+constexpr double booked_share = 0.75;
 
 /// A body that would have to wait for longer is refused: its callers expect an answer within about a second,
 /// and another target may have room.
-constexpr milliseconds longest_wait{500};
+constexpr milliseconds longest_wait{600};
 
 } // namespace
 
--- a/packages/admission/tests/transfer_schedule_test.cpp
+++ b/packages/admission/tests/transfer_schedule_test.cpp
@@ -29,8 +29,8 @@
         ++refused;
     }
     const double megabits = static_cast<double>(granted.size() * body) * 8 / 1e6 / 10.5;
-    EXPECT_LT(megabits, 23.1 * 0.65);
-    EXPECT_GT(megabits, 23.1 * 0.5);
+    EXPECT_LT(megabits, 23.1 * 0.8);
+    EXPECT_GT(megabits, 23.1 * 0.65);
     EXPECT_GT(refused, 30);
     for (std::size_t i = 1; i < granted.size(); ++i) {
         EXPECT_GE(granted[i].first + 2ms, granted[i - 1].second) << i;
@@ -54,7 +54,7 @@
     while (last) {
         last = schedule.reserve(body, now);
     }
-    EXPECT_GT(last.error(), 500ms);
+    EXPECT_GT(last.error(), 600ms);
     EXPECT_TRUE(schedule.reserve(body, now + last.error()));
 }
 
