--- a/packages/balancing/tests/slow_target_simulation_test.cpp
+++ b/packages/balancing/tests/slow_target_simulation_test.cpp
@@ -90,9 +90,9 @@
             one.queue.pop_front();
             ++one.in_use;
             const bool slowed = index == slow_target && now - m_start >= seconds(3);
-            const double mean_us = slowed ? 50'000 : 5'000;
-            const auto work = static_cast<std::int64_t>(mean_us * (0.5 + m_random.fraction()));
-            m_ends.emplace(now + microseconds(work), std::pair(index, next));
+            const common::fractional_microseconds mean = slowed ? milliseconds(50) : milliseconds(5);
+            const auto work = std::chrono::duration_cast<microseconds>(mean * (0.5 + m_random.fraction()));
+            m_ends.emplace(now + work, std::pair(index, next));
         }
     }
 
--- a/packages/codec/tests/document_compression_test.cpp
+++ b/packages/codec/tests/document_compression_test.cpp
@@ -10,8 +10,8 @@
 std::string routes_document(std::size_t routes) {
     std::string text = R"({"routes":{)";
     for (std::size_t i = 0; i < routes; ++i) {
-        text += R"("r)" + std::to_string(i) + R"(":{"host":"a.example","pathPrefix":"/x)" +
-                std::to_string(i) + R"(/","service":"desk","timeout":"2500ms"},)";
+        text += R"("r)" + std::to_string(i) + R"(":{"host":"a.example","prefix":"/x)" + std::to_string(i) +
+                R"(/","service":"desk","timeout":"2500ms"},)";
     }
     return text + "}}";
 }
@@ -47,7 +47,8 @@
     std::mt19937 random(7);
     for (int round = 0; round < 500; ++round) {
         std::string damaged = bytes;
-        damaged[random() % damaged.size()] ^= static_cast<char>(1 + random() % 255);
+        char& byte = damaged[random() % damaged.size()];
+        byte = static_cast<char>(static_cast<unsigned char>(byte) ^ (1 + random() % 255));
         const auto decoded = decompress_document(damaged);
         EXPECT_TRUE(!decoded || *decoded == routes_document(50)) << round;
     }
