Ask for a late answer when all targets of a service refused a timely one

Of a service's two targets both had refused an answer within the target latency; the code asked again for a late one only after a single refusal, so that the call was refused, and with it the work of the call that had made it. Change: the decision is a class of its own, balancing::answer_terms, and asks all targets again where a late answer was not asked for by the last one.

--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/forwarding/call_router.hpp"
 
+#include "boragehollow/balancing/answer_terms.hpp"
 #include "boragehollow/common/overloaded.hpp"
 #include "boragehollow/routing/backend_split.hpp"
 
@@ -35,9 +36,6 @@
 /// Advice where no target is known: the announcements of new ones arrive within about a second.
 constexpr milliseconds no_target_retry{400};
 
-/// Daemons that are asked for an answer in the target latency before a late one is accepted.
-constexpr std::uint32_t timely_tries = 2;
-
 /// Share of the advice by which callers are spread, so that they do not return together.
 constexpr double retry_spread = 0.5;
 
@@ -62,8 +60,8 @@
     common::steady_time received;
     common::steady_time deadline;
     std::optional<common::steady_time> aim; ///< Until then an answer is worth most.
-    std::uint32_t refusals = 0;             ///< By daemons of targets.
-    std::string path_taken;                 ///< Hosts and outcomes of the attempts, for the log.
+    balancing::answer_terms terms;
+    std::string path_taken; ///< Hosts and outcomes of the attempts, for the log.
     std::uint32_t attempts = 0;
 };
 
@@ -198,9 +196,7 @@
         wanted.earlier_not_run = plan.certainly_not_run();
         const auto choice = m_balancer.choose(wanted, common::steady_clock::now());
         if (!choice && wanted.kind == balancing::attempt_kind::redirect && current.aim &&
-            current.refusals < timely_tries) {
-            // Nobody can answer in the target latency, so a late answer is asked for.
-            current.refusals = timely_tries;
+            current.terms.relax()) {
             wanted.hosts_tried.clear();
             continue;
         }
@@ -234,7 +230,9 @@
             co_return conclude(current, step, std::move(answer));
         }
         wanted.kind = again->kind;
-        current.refusals += again->kind == balancing::attempt_kind::redirect ? 1 : 0;
+        if (again->kind == balancing::attempt_kind::redirect) {
+            current.terms.refused();
+        }
         wanted.hosts_tried.push_back(choice->host);
     }
 }
@@ -261,8 +259,7 @@
     if (current.aim) {
         const common::steady_time now = common::steady_clock::now();
         hop.aim_left = std::max(microseconds(0), microseconds_between(now, *current.aim));
-        // A daemon that can answer in time is looked for first; after a few refusals none is free.
-        hop.accepts_late = *current.aim <= now || current.refusals >= timely_tries;
+        hop.accepts_late = *current.aim <= now || current.terms.accepts_late();
     }
     hop.config_version = m_routes->snapshot()->version;
     request_message request = current.request;
