Reject odd entries of other writers without ending the process

Cause: an announcement with a deeply nested value was copied recursively and overflowed the stack, so that one entry of another writer ended the daemon each time. One item of a page of the registry that could not be decoded made the daemon ignore the whole page. Conclusion: the process neither ends nor stops following the lists.

--- a/packages/codec/include/boragehollow/codec/json_reader.hpp
+++ b/packages/codec/include/boragehollow/codec/json_reader.hpp
@@ -32,7 +32,19 @@
 std::string_view to_string(json_error_kind kind);
 std::string to_string(const json_error& error);
 
-/// Parses a document. Fails on invalid syntax, invalid UTF-8 and duplicate fields in an object.
+/// Bounds on a JSON text from outside this process.
+struct json_limits {
+    /// Copying and comparing a value recurses once per level, so that deep nesting overflows the stack. The
+    /// documents and announcements of the platform have fewer than ten levels.
+    std::size_t max_depth = 32;
+    std::size_t max_bytes = 64ULL * 1024 * 1024;
+};
+
+/// Parses a text from outside. Fails on invalid syntax, invalid UTF-8 and a text that exceeds the limits; of
+/// duplicate fields in an object, the last one counts.
+tl::expected<json, json_error> parse_bounded_json(std::string_view text, const json_limits& limits = {});
+
+/// Like `parse_bounded_json`, but also fails on duplicate fields in an object.
 tl::expected<json, json_error> parse_json(std::string_view text);
 
 /// Serializes a document and replaces invalid UTF-8. A negative indent produces a single line.
--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -50,6 +50,44 @@
     std::optional<std::string> m_duplicate;
 };
 
+/// Skips a string that begins before `position`; returns the position after its closing quote.
+std::size_t skip_string(std::string_view text, std::size_t position) {
+    while (position < text.size() && text[position] != '"') {
+        position += text[position] == '\\' ? 2 : 1;
+    }
+    return position + 1;
+}
+
+/// Runs before the parser: the nesting is counted without building a value. Up to the first syntax error, at
+/// which the parser stops, the count equals the depth of the parsed value.
+std::optional<json_error> find_exceeded_limit(std::string_view text, const json_limits& limits) {
+    if (text.size() > limits.max_bytes) {
+        return json_error{json_error_kind::out_of_range, "",
+                          "the text has more than " + std::to_string(limits.max_bytes) + " bytes"};
+    }
+    std::size_t depth = 0;
+    std::size_t position = 0;
+    while (position < text.size()) {
+        const char current = text[position++];
+        if (current == '"') {
+            position = skip_string(text, position);
+            continue;
+        }
+        if (current == '}' || current == ']') {
+            depth -= depth > 0 ? 1 : 0;
+            continue;
+        }
+        if (current != '{' && current != '[') {
+            continue;
+        }
+        if (++depth > limits.max_depth) {
+            return json_error{json_error_kind::out_of_range, "",
+                              "the nesting exceeds " + std::to_string(limits.max_depth) + " levels"};
+        }
+    }
+    return std::nullopt;
+}
+
 template <class Unsigned>
 void read_unsigned(const json& value, const std::string& path, Unsigned& target, json_errors& errors) {
     if (!value.is_number()) {
@@ -89,7 +127,21 @@
     return error.field.empty() ? error.detail : error.field + ": " + error.detail;
 }
 
+tl::expected<json, json_error> parse_bounded_json(std::string_view text, const json_limits& limits) {
+    if (auto error = find_exceeded_limit(text, limits)) {
+        return tl::unexpected(std::move(*error));
+    }
+    json value = json::parse(text, nullptr, false);
+    if (value.is_discarded()) {
+        return tl::unexpected(json_error{json_error_kind::syntax, "", "the text is not valid JSON"});
+    }
+    return value;
+}
+
 tl::expected<json, json_error> parse_json(std::string_view text) {
+    if (auto error = find_exceeded_limit(text, json_limits{})) {
+        return tl::unexpected(std::move(*error));
+    }
     duplicate_field_detector detector;
     try {
         json value = json::parse(text, [&detector](int depth, json::parse_event_t event, json& parsed) {
--- a/packages/codec/src/log_codec.cpp
+++ b/packages/codec/src/log_codec.cpp
@@ -1,5 +1,7 @@
 #include "boragehollow/codec/log_codec.hpp"
 
+#include "boragehollow/codec/json_reader.hpp"
+
 #include "log.pb.h"
 
 #include <nlohmann/json.hpp>
@@ -46,9 +48,12 @@
 }
 
 tl::expected<revision, std::string> decode_append_reply(std::string_view bytes) {
-    const auto reply = nlohmann::json::parse(bytes, nullptr, false);
-    const auto found = reply.is_object() ? reply.find("offset") : reply.end();
-    if (found == reply.end() || !found->is_number_unsigned() || *found == 0U) {
+    const auto reply = parse_bounded_json(bytes);
+    if (!reply) {
+        return tl::unexpected("the response of the log service: " + to_string(reply.error()));
+    }
+    const auto found = reply->is_object() ? reply->find("offset") : reply->end();
+    if (found == reply->end() || !found->is_number_unsigned() || *found == 0U) {
         return tl::unexpected(std::string("the response of the log service has no valid offset"));
     }
     return revision{found->get<std::uint64_t>()};
--- a/packages/codec/tests/log_codec_test.cpp
+++ b/packages/codec/tests/log_codec_test.cpp
@@ -22,6 +22,8 @@
         encode_log_page({revision{1}, revision{9}, {{revision{4}, bytes}, {revision{3}, bytes}}})));
     EXPECT_FALSE(decode_log_page("\xff\xff\xff"));
     EXPECT_EQ(decode_append_reply(encode_append_reply(revision{7})), revision{7});
+    EXPECT_FALSE(
+        decode_append_reply("{\"offset\":" + std::string(100'000, '[') + std::string(100'000, ']') + "}"));
     for (const char* corrupt : {"", "{", "[]", "{\"offset\":0}", "{\"offset\":-1}", "{\"offset\":\"7\"}"}) {
         EXPECT_FALSE(decode_append_reply(corrupt)) << corrupt;
     }
--- a/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
@@ -94,6 +94,7 @@
     member_registered = 1512,
     member_registration_failed = 1513,
     member_seeds_found = 1514,
+    member_entries_skipped = 1515,
 
     dispatch_no_target = 1601,
     dispatch_target_ejected = 1602,
--- a/packages/telemetry/src/event_catalogue.cpp
+++ b/packages/telemetry/src/event_catalogue.cpp
@@ -129,6 +129,8 @@
      "The platform did not accept this daemon's gossip address; the registration is retried."},
     {event::member_seeds_found, info, channel::membership, "member_seeds_found",
      "Gossip addresses of other daemons were read from the platform."},
+    {event::member_entries_skipped, warning, channel::membership, "member_entries_skipped",
+     "Entries among the gossip addresses on the platform could not be decoded and were skipped."},
     {event::dispatch_no_target, warning, channel::dispatch, "dispatch_no_target",
      "No target of a service can accept a call."},
     {event::dispatch_target_ejected, warning, channel::dispatch, "dispatch_target_ejected",
--- a/packages/web/include/boragehollow/web/query.hpp
+++ b/packages/web/include/boragehollow/web/query.hpp
@@ -11,6 +11,9 @@
 /// Decodes percent escapes; returns nothing if an escape is malformed.
 std::optional<std::string> percent_decode(std::string_view text);
 
+/// Escapes all bytes except letters, digits and `-._~`.
+std::string percent_encode(std::string_view text);
+
 /// Parses a query string. If a name is repeated, the last value wins.
 std::map<std::string, std::string> parse_query(std::string_view query);
 
--- a/packages/web/src/query.cpp
+++ b/packages/web/src/query.cpp
@@ -45,6 +45,25 @@
     return decoded;
 }
 
+std::string percent_encode(std::string_view text) {
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    constexpr std::string_view unreserved =
+        "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~";
+    std::string encoded;
+    encoded.reserve(text.size());
+    for (const char byte : text) {
+        if (unreserved.find(byte) != std::string_view::npos) {
+            encoded.push_back(byte);
+            continue;
+        }
+        const auto value = static_cast<unsigned char>(byte);
+        encoded.push_back('%');
+        encoded.push_back(digits[value >> 4U]);
+        encoded.push_back(digits[value & 0xFU]);
+    }
+    return encoded;
+}
+
 std::map<std::string, std::string> parse_query(std::string_view query) {
     std::map<std::string, std::string> parameters;
     for (const std::string_view part : split(query, '&')) {
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -235,10 +235,13 @@
             [registry, host = settings.identity.host, gossip = daemon.gossip](const std::stop_token& stop) {
                 return registry.register_host(host, gossip, stop);
             },
-            [registry](const std::stop_token& stop) { return registry.list(stop); },
-            [&daemon] {
-                const auto mesh = daemon.mesh.load();
-                return !mesh || mesh->hosts.size() <= 1 || mesh->count(membership::member_state::alive) <= 1;
+            [registry, &events = daemon.events](const std::stop_token& stop) {
+                return registry.list(stop).map([&events](platform::host_listing listing) {
+                    if (listing.skipped > 0) {
+                        events.emit(event_number::member_entries_skipped, {{"count", listing.skipped}});
+                    }
+                    return std::move(listing.endpoints);
+                });
             },
             [&daemon] {
                 const auto mesh = daemon.mesh.load();
