Bound what a peer without end can use, and survive a false body length

Cause: Beast reserves memory for a stated Content-Length before it compares it with the parser's limit. A chunk extension without end grew the receive buffer without a limit, and the bodies of several responses without end could use up the memory of a small host together. Change: the stated length is checked before the body is read; the receive buffers have a limit; all responses that are being received share 32 MB; an exception in a session ends its connection only. Result: responses_without_end_are_cut_off ended the test process by bad_alloc before the check of the stated length; now nine kinds of endless bytes get 502 or 504, the connection is closed and other calls go on. Conclusion: bounded for targets and callers.

--- a/packages/forwarding/include/boragehollow/forwarding/asio.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/asio.hpp
@@ -13,6 +13,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cstdint>
 #include <string_view>
 
 /// Aliases for Boost.Asio and Boost.Beast, shared by all files of this library.
@@ -31,6 +32,15 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
+/// True when the header states a body above the limit. Has to be checked before the body is read: Beast
+/// reserves memory for the stated length before it compares it with the parser's limit, and a length of 100
+/// GB would end the process.
+template <class Parser>
+bool exceeds_body_limit(const Parser& parser, std::uint64_t max_body_bytes) {
+    const auto stated = parser.content_length();
+    return stated && *stated > max_body_bytes;
+}
+
 inline std::string_view view_of(beast::string_view text) {
     return {text.data(), text.size()};
 }
--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -77,6 +77,8 @@
     connection_ptr take_idle(const common::endpoint& remote, std::chrono::milliseconds max_idle_time);
     asio::awaitable<tl::expected<connection_ptr, exchange_error>>
     open(common::endpoint remote, const exchange_options& options, cancellation_ptr cancelled);
+    asio::awaitable<error_code> receive(connection& conn, http::response_parser<http::string_body>& parser,
+                                        std::size_t max_body_bytes);
     asio::awaitable<tl::expected<response_message, exchange_error>>
     read_response(connection_ptr conn, bool head_request, const exchange_options& options);
     asio::awaitable<void> write_paced(connection_ptr conn, std::chrono::milliseconds duration);
@@ -86,6 +88,7 @@
     asio::io_context& m_context;
     std::map<common::endpoint, std::vector<connection_ptr>> m_idle;
     pool_counters m_counters;
+    std::size_t m_receiving_bytes = 0; ///< Received bodies of responses that are not complete yet.
 };
 
 /// Enables TCP keepalive and a limit on unacknowledged data. Without them, a connection to a host that lost
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -1,5 +1,8 @@
 #include "boragehollow/forwarding/connection_pool.hpp"
 
+#include "boragehollow/common/scope_guard.hpp"
+#include "boragehollow/forwarding/paced_body.hpp"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -35,6 +38,14 @@
 
 constexpr std::size_t max_header_bytes = 64 * 1024;
 
+/// Bytes that are received but not yet parsed. The parser alone does not limit a chunk extension, so that a
+/// peer could send one without end.
+constexpr std::size_t max_unparsed_bytes = 256 * 1024;
+
+/// Bodies of all responses that are being received by one pool. A target host may have 110 MB of memory and
+/// 12 calls at once, each with a body up to the limit of a single response.
+constexpr std::size_t max_receiving_bytes = 32ULL * 1024 * 1024;
+
 /// A connection is closed when sent data stays unacknowledged for this time, which allows several
 /// retransmissions.
 constexpr milliseconds unacknowledged_data_timeout{2'500};
@@ -85,7 +96,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     request_message request; ///< Must outlive the write, which may run concurrently with the read.
     common::steady_time idle_since;
     common::steady_time usable_until = common::steady_time::max();
@@ -143,6 +154,35 @@
     co_return conn;
 }
 
+asio::awaitable<error_code> connection_pool::receive(connection& conn,
+                                                     http::response_parser<http::string_body>& parser,
+                                                     std::size_t max_body_bytes) {
+    std::size_t counted = 0;
+    const common::scope_guard release([this, &counted] { m_receiving_bytes -= counted; });
+    error_code error;
+    co_await http::async_read_header(conn.stream, conn.buffer, parser, redirect_error_to(error));
+    if (!error && exceeds_body_limit(parser, max_body_bytes)) {
+        error = make_error_code(http::error::body_limit);
+    }
+    if (error) {
+        co_return error;
+    }
+    parser.eager(true);
+    while (!parser.is_done()) {
+        co_await http::async_read_some(conn.stream, conn.buffer, parser, redirect_error_to(error));
+        if (error) {
+            co_return error;
+        }
+        const std::size_t received = parser.get().body().size();
+        m_receiving_bytes += received - counted;
+        counted = received;
+        if (m_receiving_bytes > max_receiving_bytes) {
+            co_return make_error_code(http::error::body_limit);
+        }
+    }
+    co_return error;
+}
+
 asio::awaitable<tl::expected<response_message, exchange_error>>
 connection_pool::read_response(connection_ptr conn, bool head_request, const exchange_options& options) {
     for (int unmatched = 0; unmatched <= max_unmatched_responses; ++unmatched) {
@@ -150,8 +190,7 @@
         parser.header_limit(max_header_bytes);
         parser.body_limit(options.max_body_bytes);
         parser.skip(head_request);
-        error_code error;
-        co_await http::async_read(conn->stream, conn->buffer, parser, redirect_error_to(error));
+        const error_code error = co_await receive(*conn, parser, options.max_body_bytes);
         if (error) {
             const auto kind = error == beast::error::timeout ? exchange_error_kind::timed_out
                                                              : exchange_error_kind::response_lost;
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -3,6 +3,7 @@
 #include "boragehollow/forwarding/connection_pool.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 #include <utility>
 
@@ -16,6 +17,9 @@
 /// Pipelined requests of one connection that are in progress at once. Further ones stay in the socket buffer.
 constexpr std::size_t max_pending_requests = 32;
 
+/// Bytes that are received but not yet parsed. The parser alone does not limit a chunk extension.
+constexpr std::size_t max_unparsed_bytes = 256 * 1024;
+
 /// Time for the client to read the last response before the connection is closed: closing a socket that holds
 /// unread bytes resets the connection, and the reset can overtake the response.
 constexpr milliseconds linger_timeout{500};
@@ -42,6 +46,16 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+/// Completion handler of a coroutine: an exception, such as one for exhausted memory, ends its connection and
+/// not the process.
+auto close_on_exception(std::shared_ptr<http_session> session) {
+    return [session = std::move(session)](const std::exception_ptr& failure) {
+        if (failure) {
+            session->close();
+        }
+    };
+}
+
 } // namespace
 
 struct http_session::pending_response {
@@ -56,7 +70,7 @@
 };
 
 http_session::http_session(tcp::socket socket, std::shared_ptr<const session_callbacks> callbacks)
-    : m_socket(std::move(socket)), m_callbacks(std::move(callbacks)),
+    : m_socket(std::move(socket)), m_buffer(max_unparsed_bytes), m_callbacks(std::move(callbacks)),
       m_pending_changed(m_socket.get_executor()), m_last_activity(common::steady_clock::now()) {
     m_pending_changed.expires_at(common::steady_time::max());
 }
@@ -78,13 +92,13 @@
         [](std::shared_ptr<http_session> session) -> asio::awaitable<void> {
             co_await session->read_requests();
         }(self),
-        asio::detached);
+        close_on_exception(self));
     asio::co_spawn(
         m_socket.get_executor(),
         [](std::shared_ptr<http_session> session) -> asio::awaitable<void> {
             co_await session->write_responses();
         }(self),
-        asio::detached);
+        close_on_exception(self));
 }
 
 asio::awaitable<error_code> http_session::read_request(std::optional<request_message>& request) {
@@ -106,6 +120,9 @@
     if (error) {
         co_return error;
     }
+    if (exceeds_body_limit(parser, limits.body_bytes)) {
+        co_return make_error_code(http::error::body_limit);
+    }
     if (beast::iequals(parser.get()[http::field::expect], "100-continue") && m_pending.empty()) {
         static constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_socket, asio::buffer(proceed), redirect_error_to(error));
@@ -186,7 +203,7 @@
                 request_message request = std::move(started_request->request);
                 co_await session->handle_request(started_request, std::move(request));
             }(shared_from_this(), pending),
-            asio::detached);
+            close_on_exception(shared_from_this()));
     }
 }
 
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -7,8 +7,11 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <condition_variable>
+#include <fstream>
 #include <mutex>
 
 // Runs the forwarder of one daemon between raw caller connections and a scripted target.
@@ -255,6 +258,77 @@
     }
 }
 
+std::size_t resident_bytes() {
+    std::ifstream statm("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/// Start of a response, and what the target then repeats until its connection is closed.
+struct endless_response {
+    const char* name;
+    std::string begin;
+    std::string repeated;
+};
+
+std::vector<endless_response> endless_responses() {
+    const std::string chunked = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block(16'384, 'e');
+    return {
+        {"no response at all", "", block},
+        {"head", "HTTP/1.1 200 OK\r\nX-Fill: ", block},
+        {"header lines", "HTTP/1.1 200 OK\r\n", "X-Fill: " + std::string(1'000, 'h') + "\r\n"},
+        {"body without a length", "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n", block},
+        {"body with a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", block},
+        {"chunks", chunked, "4000\r\n" + block + "\r\n"},
+        {"chunk extension", chunked + "1;", block},
+        {"trailer", chunked + "0\r\n", "X-Fill: " + std::string(1'000, 't') + "\r\n"},
+        {"informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    };
+}
+
+// Guards against bytes without end that a target in trouble sends in place of a response: they must not use
+// up the memory of the daemon, reach the caller as a success, or keep the connection and the daemon busy.
+TEST(forwarder, responses_without_end_are_cut_off) {
+    for (const endless_response& response : endless_responses()) {
+        SCOPED_TRACE(response.name);
+        std::atomic<bool> closed{false};
+        scripted_server target([&](tcp::socket& socket, const std::string& head) {
+            if (header(head, "X-Id") == "sound") {
+                send(socket, ok_response("sound", "fine"));
+                return true;
+            }
+            error_code error;
+            asio::write(socket, asio::buffer(response.begin), error);
+            const auto end = common::steady_clock::now() + 4s;
+            while (!error && common::steady_clock::now() < end) {
+                asio::write(socket, asio::buffer(response.repeated), error);
+            }
+            closed = error.failed();
+            return false;
+        });
+        daemon_under_test daemon(target.address());
+        const std::size_t before = resident_bytes();
+        std::vector<std::unique_ptr<raw_client>> callers;
+        for (int i = 0; i < 3; ++i) {
+            callers.push_back(std::make_unique<raw_client>(daemon.caller_endpoint()));
+            callers.back()->write(
+                request("POST", "/order/a", "e" + std::to_string(i), "Content-Length: 0\r\n"));
+        }
+        raw_client sound(daemon.caller_endpoint());
+        sound.write(request("GET", "/safe/a", "sound"));
+        EXPECT_TRUE(sound.read().ends_with("fine"));
+        for (const auto& caller : callers) {
+            const std::string result = caller->read();
+            EXPECT_TRUE(result.starts_with("HTTP/1.1 502") || result.starts_with("HTTP/1.1 504")) << result;
+        }
+        EXPECT_LT(resident_bytes(), before + 96ULL * 1024 * 1024);
+        EXPECT_TRUE(eventually([&closed] { return closed.load(); }));
+    }
+}
+
 // Guards against a target that keeps working on an idempotent call whose caller disconnected: the forwarder
 // must close the connection to the target.
 TEST(forwarder, caller_disconnect_cancels_the_idempotent_call) {
@@ -296,7 +370,11 @@
               "HTTP/1.1 400");
     EXPECT_EQ(status(request("GET", "/safe/a", "x", "Big: " + std::string(8'000, 'b') + "\r\n")),
               "HTTP/1.1 431");
-    EXPECT_EQ(status(request("POST", "/order/a", "x", "Content-Length: 200000\r\n")), "HTTP/1.1 413");
+    for (const char* length : {"200000", "99999999999", "9223372036854775807", "18446744073709551615"}) {
+        EXPECT_EQ(status(request("POST", "/order/a", "x", "Content-Length: " + std::string(length) + "\r\n")),
+                  "HTTP/1.1 413")
+            << length;
+    }
     EXPECT_EQ(served, 0);
 }
 
