--- a/packages/admission/include/boragehollow/admission/transfer_schedule.hpp
+++ b/packages/admission/include/boragehollow/admission/transfer_schedule.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "boragehollow/common/sliding_window.hpp"
 #include "boragehollow/common/time.hpp"
 
 #include <tl/expected.hpp>
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 
 namespace boragehollow::admission {
 
@@ -17,7 +19,7 @@
     bool operator==(const transfer_window&) const = default;
 };
 
-/// Schedules large bodies that other daemons send over this host's link. Concurrent bodies would fill the
+/// Schedules the large bodies that cross this host's link in one direction. Concurrent bodies would fill the
 /// link for seconds and delay small calls, log reads and gossip.
 class transfer_schedule {
 public:
@@ -28,8 +30,30 @@
     tl::expected<transfer_window, std::chrono::milliseconds> reserve(std::size_t bytes,
                                                                      common::steady_time now);
 
+    /// Reserves a transfer that cannot be refused any more, such as the response to a call that has run.
+    transfer_window append(std::size_t bytes, common::steady_time now);
+
+    /// Time until the link is free, if that is too long for another transfer.
+    std::optional<std::chrono::milliseconds> excessive_wait(common::steady_time now) const;
+
+    /// Share of the reservable link time that is in use, from 0 to 1.
+    double utilization(common::steady_time now);
+
 private:
+    struct reserved_time {
+        std::chrono::duration<double> value{0};
+
+        reserved_time& operator+=(const reserved_time& other) {
+            value += other.value;
+            return *this;
+        }
+    };
+
+    static constexpr std::chrono::seconds utilization_window{1};
+    static constexpr std::size_t slice_count = 5;
+
     double m_bytes_per_second;
+    common::sliding_window<reserved_time, slice_count> m_recent{utilization_window};
     common::steady_time m_reserved_until{};
 };
 
--- a/packages/admission/tests/transfer_schedule_test.cpp
+++ b/packages/admission/tests/transfer_schedule_test.cpp
@@ -58,5 +58,28 @@
     EXPECT_TRUE(schedule.reserve(body_bytes, now + last.error()));
 }
 
+// Guards against a target that takes calls with large responses although its link is the bottleneck: 20
+// downloads of 90 KB a second need more than a link of 12 Mbit/s, while the slots of the target are mostly
+// free.
+TEST(transfer_schedule, reports_a_link_that_is_the_bottleneck) {
+    transfer_schedule schedule(12);
+    common::steady_time now(1h);
+    EXPECT_EQ(schedule.utilization(now), 0);
+    int refused = 0;
+    for (int i = 0; i < 200; ++i) {
+        now += 50ms;
+        if (schedule.excessive_wait(now)) {
+            ++refused;
+            continue;
+        }
+        schedule.append(90'000, now);
+    }
+    EXPECT_GT(refused, 40);
+    EXPECT_LT(refused, 100);
+    EXPECT_GT(schedule.utilization(now), 0.9);
+    now += 3s;
+    EXPECT_EQ(schedule.utilization(now), 0);
+}
+
 } // namespace
 } // namespace boragehollow::admission
--- a/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
@@ -34,7 +34,7 @@
     void set_routes(std::shared_ptr<const routing::route_table> routes, common::steady_time now);
     balancing::balancer& targets() { return m_balancer; }
 
-    asio::awaitable<response_message> handle(request_message request, cancellation_ptr cancelled);
+    asio::awaitable<response_message> handle(request_message request, request_context context);
 
     /// False for a call that must not start while earlier calls of its connection are in progress.
     bool may_pipeline(const request_message& request) const;
--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -81,7 +81,7 @@
                                         std::size_t max_body_bytes);
     asio::awaitable<tl::expected<response_message, exchange_error>>
     read_response(connection_ptr conn, bool head_request, const exchange_options& options);
-    asio::awaitable<void> write_paced(connection_ptr conn, std::chrono::milliseconds duration);
+    asio::awaitable<void> write_large_request(connection_ptr conn, std::chrono::milliseconds duration);
     void return_to_pool(const common::endpoint& remote, connection_ptr conn,
                         const response_message& response);
 
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -121,8 +121,8 @@
     void finish_coroutines();
     asio::awaitable<void> accept(tcp::acceptor& acceptor, std::shared_ptr<const session_callbacks> callbacks);
     asio::awaitable<void> run_maintenance();
-    asio::awaitable<response_message> serve_caller(request_message request, cancellation_ptr cancelled);
-    asio::awaitable<response_message> serve_peer(request_message request, cancellation_ptr cancelled);
+    asio::awaitable<session_response> serve_caller(request_message request, request_context context);
+    asio::awaitable<session_response> serve_peer(request_message request, request_context context);
     asio::awaitable<response_message> serve_control(request_message request);
     asio::awaitable<void> exchange_control_request(send_control_request request);
     void process_messages();
--- a/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
@@ -4,6 +4,7 @@
 #include "boragehollow/config/versioned_config.hpp"
 #include "boragehollow/forwarding/asio.hpp"
 #include "boragehollow/forwarding/cancellation.hpp"
+#include "boragehollow/forwarding/session_messages.hpp"
 
 #include <deque>
 #include <functional>
@@ -11,9 +12,8 @@
 
 namespace boragehollow::forwarding {
 
-/// Produces the response to one request. `cancelled` is triggered when the client closes its connection.
-using request_handler =
-    std::function<asio::awaitable<response_message>(request_message, cancellation_ptr cancelled)>;
+/// Produces the response to one request.
+using request_handler = std::function<asio::awaitable<session_response>(request_message, request_context)>;
 
 /// Callbacks by which a session uses its owner.
 struct session_callbacks {
@@ -58,6 +58,7 @@
     asio::awaitable<error_code> read_request(std::optional<request_message>& request);
     asio::awaitable<void> handle_request(pending_ptr pending, request_message request);
     asio::awaitable<void> write_responses();
+    asio::awaitable<void> write_response(pending_response& pending, error_code& error);
     void enqueue_request(request_message request);
     void reject_malformed_request(const error_code& error);
     void start_ready_requests();
@@ -71,6 +72,7 @@
     /// Cancelled whenever `m_pending` changes, to wake the coroutines that wait for a change.
     asio::steady_timer m_pending_changed;
     common::steady_time m_last_activity;
+    bool m_from_own_host = false;   ///< The client has the address on which it reached this daemon.
     bool m_reading_request = false; ///< Part of a request has been received.
     bool m_reading_ended = false;   ///< The last request has been read or reading failed.
     bool m_stop_reading = false;    ///< No further request is read.
--- a/packages/forwarding/include/boragehollow/forwarding/local_target.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/local_target.hpp
@@ -6,6 +6,7 @@
 #include "boragehollow/forwarding/connection_pool.hpp"
 #include "boragehollow/forwarding/header_names.hpp"
 #include "boragehollow/forwarding/mesh_headers.hpp"
+#include "boragehollow/forwarding/session_messages.hpp"
 
 #include <functional>
 #include <map>
@@ -32,9 +33,10 @@
 public:
     /// `link_megabits` is the bandwidth of this host's link, in Mbit/s.
     /// `on_unreachable` is called when the target refuses a connection or responds with status 421.
-    local_target(asio::io_context& context, header_names names, admission::admission_settings settings,
-                 double link_megabits, const telemetry::event_log& events,
-                 std::function<void()> on_unreachable);
+    /// `host` is the host of this daemon.
+    local_target(asio::io_context& context, std::string host, header_names names,
+                 admission::admission_settings settings, double link_megabits,
+                 const telemetry::event_log& events, std::function<void()> on_unreachable);
 
     void set_instance(std::optional<target_instance> instance);
     void set_policy(const config::admission_policy& policy);
@@ -45,8 +47,9 @@
     /// metadata only.
     response_message reserve_transfer(const call_metadata& call, std::size_t bytes);
 
-    /// Admits the call and runs it. The response carries response metadata.
-    asio::awaitable<response_message> run(call_metadata call, request_message request,
+    /// Admits the call and runs it. The response carries response metadata. A large response for another host
+    /// waits for its turn on this host's link.
+    asio::awaitable<session_response> run(call_metadata call, request_message request,
                                           cancellation_ptr cancelled);
 
     void set_config_version(common::revision version) { m_config_version = version; }
@@ -65,19 +68,26 @@
                                          common::steady_time deadline, cancellation_ptr cancelled);
     void apply(const admission::admission_controller::effects& effects);
     void schedule_tick();
-    response_message make_response(response_metadata metadata,
-                                   std::optional<response_message> response) const;
+    response_message make_response(response_metadata metadata, std::optional<response_message> response);
+    std::optional<std::chrono::milliseconds> busy_link_wait(const call_metadata& call,
+                                                            common::steady_time now) const;
+    response_message busy_link_response(const call_metadata& call, std::size_t bytes,
+                                        std::chrono::milliseconds wait);
+    asio::awaitable<session_response> send_on_link(const call_metadata& call, response_message response);
     response_message refusal_response(const call_metadata& call, const admission::refused& reason,
                                       common::steady_time now);
     void prepare_request(const call_metadata& call, common::steady_time deadline,
                          request_message& request) const;
 
     asio::io_context& m_context;
+    std::string m_host;
     header_names m_names;
     call_log m_log;
     std::function<void()> m_on_unreachable;
     admission::admission_controller m_admission;
-    admission::transfer_schedule m_transfers;
+    admission::transfer_schedule m_incoming; ///< Large request bodies from other hosts.
+    admission::transfer_schedule m_outgoing; ///< Large response bodies to other hosts.
+    double m_mean_long_response_bytes = 0;   ///< Of long calls, which may have large responses.
     connection_pool m_pool;
     std::optional<target_instance> m_instance;
     common::revision m_config_version;
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -173,7 +173,7 @@
     return std::nullopt;
 }
 
-asio::awaitable<response_message> call_router::handle(request_message request, cancellation_ptr cancelled) {
+asio::awaitable<response_message> call_router::handle(request_message request, request_context context) {
     call current;
     if (auto rejection = prepare_call(request, current)) {
         co_return std::move(*rejection);
@@ -186,7 +186,7 @@
     current.request = std::move(request);
 
     const cancellation_ptr target_cancellation =
-        route.idempotent ? cancelled : std::make_shared<cancellation>();
+        route.idempotent ? context.cancelled : std::make_shared<cancellation>();
     balancing::retry_controller retries(
         {route.idempotent, route.attempts > 0 ? route.attempts : 1, current.deadline});
     balancing::attempt_request attempt_request;
@@ -270,7 +270,7 @@
     metadata.config_version = m_routes->snapshot()->version;
     request_message request = current.request;
     if (target.host == m_settings.host) {
-        response_message response =
+        session_response response =
             co_await m_own_target.run(std::move(metadata), std::move(request), cancelled);
         if (cancelled->requested()) {
             attempt disconnected;
@@ -279,7 +279,7 @@
             disconnected.outcome = attempt_outcome::cancelled;
             co_return disconnected;
         }
-        co_return evaluate_response(current, target, std::move(response));
+        co_return evaluate_response(current, target, std::move(response.message));
     }
     milliseconds body_send_duration{0};
     if (request.body().size() > max_unreserved_body_bytes) {
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -32,10 +32,6 @@
 /// read.
 constexpr std::size_t max_unpaced_body_bytes = 8 * 1024;
 
-/// Size of the chunks in which a large body is written. A chunk takes 9 ms on a link of 7 Mbit/s, which is
-/// how long another message waits behind it.
-constexpr std::size_t body_chunk_bytes = 8 * 1024;
-
 constexpr std::size_t max_header_bytes = 64 * 1024;
 
 /// Bytes that are received but not yet parsed. The parser alone does not limit a chunk extension, so that a
@@ -215,18 +211,9 @@
         exchange_error{exchange_error_kind::response_lost, "responses of other requests"});
 }
 
-asio::awaitable<void> connection_pool::write_paced(connection_ptr conn, milliseconds duration) {
+asio::awaitable<void> connection_pool::write_large_request(connection_ptr conn, milliseconds duration) {
     http::request_serializer<http::string_body> serializer(conn->request);
-    serializer.limit(body_chunk_bytes);
-    const std::size_t chunks = conn->request.body().size() / body_chunk_bytes + 1;
-    const auto pause = std::chrono::duration_cast<std::chrono::microseconds>(duration) / chunks;
-    asio::steady_timer timer(m_context, common::steady_clock::now());
-    while (!serializer.is_done() && !conn->write_error) {
-        error_code ignored;
-        co_await timer.async_wait(redirect_error_to(ignored));
-        co_await http::async_write_some(conn->stream, serializer, redirect_error_to(conn->write_error));
-        timer.expires_at(timer.expiry() + pause);
-    }
+    co_await write_paced(conn->stream, serializer, conn->request.body().size(), duration, conn->write_error);
     conn->written = true;
 }
 
@@ -274,7 +261,7 @@
         conn->written = true;
     } else {
         // The target may respond before it has read a large body, so the response is read concurrently.
-        asio::co_spawn(m_context, write_paced(conn, options.body_send_duration), asio::detached);
+        asio::co_spawn(m_context, write_large_request(conn, options.body_send_duration), asio::detached);
     }
     auto response = co_await read_response(conn, head_request, options);
     if (cancelled->requested()) {
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -45,8 +45,8 @@
                      const telemetry::event_log& events, telemetry::metric_registry& metrics)
     : m_settings(settings), m_sinks(std::move(sinks)), m_events(events), m_metrics(metrics),
       m_ring(settings.ring_size),
-      m_target(m_context, settings.router.names, settings.admission, settings.link_megabits, events,
-               [this] { m_sinks.target_unreachable(); }),
+      m_target(m_context, settings.router.host, settings.router.names, settings.admission,
+               settings.link_megabits, events, [this] { m_sinks.target_unreachable(); }),
       m_router(m_context, settings.router, m_target, common::random_source::from_system(), events, metrics,
                [this](const common::endpoint& peer, common::revision version) {
                    m_sinks.newer_config(peer, version);
@@ -150,8 +150,8 @@
 
 void forwarder::run() {
     auto callers = std::make_shared<session_callbacks>();
-    callers->handle = [this](request_message request, cancellation_ptr cancelled) {
-        return serve_caller(std::move(request), std::move(cancelled));
+    callers->handle = [this](request_message request, request_context context) {
+        return serve_caller(std::move(request), std::move(context));
     };
     callers->may_pipeline = [this](const request_message& request) { return m_router.may_pipeline(request); };
     callers->limits = [this] { return m_limits; };
@@ -161,8 +161,8 @@
     };
 
     auto peers = std::make_shared<session_callbacks>();
-    peers->handle = [this](request_message request, cancellation_ptr cancelled) {
-        return serve_peer(std::move(request), std::move(cancelled));
+    peers->handle = [this](request_message request, request_context context) {
+        return serve_peer(std::move(request), std::move(context));
     };
     peers->may_pipeline = [](const request_message&) { return false; };
     peers->limits = [this] { return peer_limits(m_limits); };
@@ -215,25 +215,29 @@
     }
 }
 
-asio::awaitable<response_message> forwarder::serve_caller(request_message request,
-                                                          cancellation_ptr cancelled) {
+asio::awaitable<session_response> forwarder::serve_caller(request_message request, request_context context) {
     ++m_open_calls;
     const common::scope_guard decrement_open_calls([this] { --m_open_calls; });
-    co_return co_await m_router.handle(std::move(request), std::move(cancelled));
+    session_response response;
+    response.message = co_await m_router.handle(std::move(request), std::move(context));
+    co_return response;
 }
 
-asio::awaitable<response_message> forwarder::serve_peer(request_message request, cancellation_ptr cancelled) {
+asio::awaitable<session_response> forwarder::serve_peer(request_message request, request_context context) {
+    session_response response;
     if (view_of(request.target()).starts_with(control_path_prefix)) {
-        co_return co_await serve_control(std::move(request));
+        response.message = co_await serve_control(std::move(request));
+        co_return response;
     }
     auto call = extract_call_metadata(request);
     if (!call) {
-        response_message refused{http::status::bad_request, 11};
-        refused.prepare_payload();
-        co_return refused;
+        response.message.result(http::status::bad_request);
+        response.message.prepare_payload();
+        co_return response;
     }
     if (call->transfer_bytes) {
-        co_return m_target.reserve_transfer(*call, *call->transfer_bytes);
+        response.message = m_target.reserve_transfer(*call, *call->transfer_bytes);
+        co_return response;
     }
     ++m_open_calls;
     const common::scope_guard decrement_open_calls([this] { --m_open_calls; });
@@ -241,8 +245,9 @@
     // A non-idempotent call continues when the connection to the caller's daemon is lost: the caller may
     // still learn its outcome.
     const cancellation_ptr target_cancellation =
-        call->idempotent ? cancelled : std::make_shared<cancellation>();
-    co_return co_await m_target.run(std::move(*call), std::move(request), target_cancellation);
+        call->idempotent ? context.cancelled : std::make_shared<cancellation>();
+    response = co_await m_target.run(std::move(*call), std::move(request), target_cancellation);
+    co_return response;
 }
 
 asio::awaitable<response_message> forwarder::serve_control(request_message request) {
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -1,6 +1,7 @@
 #include "boragehollow/forwarding/http_session.hpp"
 
 #include "boragehollow/forwarding/connection_pool.hpp"
+#include "boragehollow/forwarding/paced_body.hpp"
 
 #include <algorithm>
 #include <exception>
@@ -40,6 +41,16 @@
     return http::status::bad_request;
 }
 
+bool connects_from_own_host(const tcp::socket& socket) {
+    error_code error;
+    const auto remote = socket.remote_endpoint(error);
+    if (error) {
+        return false;
+    }
+    const auto local = socket.local_endpoint(error);
+    return !error && (remote.address() == local.address() || remote.address().is_loopback());
+}
+
 /// True when the received bytes are not a valid request, false when the connection ended.
 bool is_malformed(const error_code& error) {
     return error.category() == make_error_code(http::error::bad_method).category() &&
@@ -63,7 +74,7 @@
 
     request_message request; ///< Moved from when handling starts.
     cancellation_ptr cancelled = std::make_shared<cancellation>();
-    std::optional<response_message> response;
+    std::optional<session_response> response;
     bool started = false;
     bool keep_alive = true;
     bool head_request = false;
@@ -73,6 +84,7 @@
     : m_socket(std::move(socket)), m_buffer(max_unparsed_bytes), m_callbacks(std::move(callbacks)),
       m_pending_changed(m_socket.get_executor()), m_last_activity(common::steady_clock::now()) {
     m_pending_changed.expires_at(common::steady_time::max());
+    m_from_own_host = connects_from_own_host(m_socket);
 }
 
 http_session::~http_session() {
@@ -208,7 +220,9 @@
 }
 
 asio::awaitable<void> http_session::handle_request(pending_ptr pending, request_message request) {
-    auto response = co_await m_callbacks->handle(std::move(request), pending->cancelled);
+    // GCC 12 destroys a temporary aggregate in a co_await expression twice, so the context has a name.
+    request_context context{pending->cancelled, m_from_own_host};
+    session_response response = co_await m_callbacks->handle(std::move(request), std::move(context));
     pending->response = std::move(response);
     m_pending_changed.cancel();
 }
@@ -218,11 +232,25 @@
     auto pending = std::make_shared<pending_response>(request_message{});
     pending->started = true;
     pending->keep_alive = false;
-    pending->response = empty_response(error_status(error));
+    pending->response = session_response{empty_response(error_status(error))};
     add_pending(std::move(pending));
     m_pending_changed.cancel();
 }
 
+asio::awaitable<void> http_session::write_response(pending_response& pending, error_code& error) {
+    response_message& response = pending.response->message;
+    const milliseconds duration = pending.response->body_send_duration;
+    http::response_serializer<http::string_body> serializer(response);
+    if (pending.head_request) {
+        co_await http::async_write_header(m_socket, serializer, redirect_error_to(error));
+    } else if (duration.count() > 0) {
+        error = {};
+        co_await write_paced(m_socket, serializer, response.body().size(), duration, error);
+    } else {
+        co_await http::async_write(m_socket, serializer, redirect_error_to(error));
+    }
+}
+
 asio::awaitable<void> http_session::write_responses() {
     const auto self = shared_from_this();
     error_code error;
@@ -235,17 +263,11 @@
             continue;
         }
         const pending_ptr pending = m_pending.front();
-        response_message& response = *pending->response;
         // A draining daemon closes the connection after the last request that it has read.
         const bool close_after =
             !pending->keep_alive || (m_callbacks->draining_connections() && m_pending.size() == 1);
-        response.keep_alive(!close_after);
-        http::response_serializer<http::string_body> serializer(response);
-        if (pending->head_request) {
-            co_await http::async_write_header(m_socket, serializer, redirect_error_to(error));
-        } else {
-            co_await http::async_write(m_socket, serializer, redirect_error_to(error));
-        }
+        pending->response->message.keep_alive(!close_after);
+        co_await write_response(*pending, error);
         if (error || m_closed) {
             break;
         }
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -27,6 +27,12 @@
 
 constexpr unsigned misdirected_request_status = 421;
 
+/// A larger response is scheduled on the link. It takes 20 ms on a link of 7 Mbit/s.
+constexpr std::size_t max_unscheduled_response_bytes = 16 * 1024;
+
+/// Weight of the newest response in the mean size.
+constexpr double newest_response_weight = 0.1;
+
 microseconds microseconds_between(common::steady_time from, common::steady_time to) {
     return std::chrono::duration_cast<microseconds>(to - from);
 }
@@ -48,12 +54,12 @@
     admission::call_result result = admission::call_result::failed;
 };
 
-local_target::local_target(asio::io_context& context, header_names names,
+local_target::local_target(asio::io_context& context, std::string host, header_names names,
                            admission::admission_settings settings, double link_megabits,
                            const telemetry::event_log& events, std::function<void()> on_unreachable)
-    : m_context(context), m_names(std::move(names)), m_log(events),
-      m_on_unreachable(std::move(on_unreachable)), m_admission(settings), m_transfers(link_megabits),
-      m_pool(context), m_tick(context) {}
+    : m_context(context), m_host(std::move(host)), m_names(std::move(names)), m_log(events),
+      m_on_unreachable(std::move(on_unreachable)), m_admission(settings), m_incoming(link_megabits),
+      m_outgoing(link_megabits), m_pool(context), m_tick(context) {}
 
 void local_target::set_instance(std::optional<target_instance> instance) {
     if (m_instance && (!instance || instance->id != m_instance->id)) {
@@ -182,10 +188,15 @@
 }
 
 response_message local_target::make_response(response_metadata metadata,
-                                             std::optional<response_message> response) const {
+                                             std::optional<response_message> response) {
     const admission::admission_status status = m_admission.status();
+    // A host whose link is in use has no capacity, even if its target has free slots.
+    const common::steady_time now = common::steady_clock::now();
+    const double link_use = std::max(m_incoming.utilization(now), m_outgoing.utilization(now));
+    const std::uint32_t running = status.running_short + status.running_long;
+    const auto slots_of_link = static_cast<std::uint32_t>(link_use * status.slots);
     metadata.load = balancing::piggybacked_load{status.queued_short + status.queued_long,
-                                                status.running_short + status.running_long, status.slots};
+                                                std::max(running, slots_of_link), status.slots};
     metadata.config_version = m_config_version;
     response_message result =
         response ? std::move(*response) : response_message{http::status::service_unavailable, 11};
@@ -226,14 +237,21 @@
         metadata.reason = admission::to_string(admission::refusal_reason::no_target);
         return make_response(std::move(metadata), std::nullopt);
     }
-    const auto window = m_transfers.reserve(bytes, now);
-    if (window) {
-        metadata.outcome = forwarding_outcome::reserved;
-        metadata.window = *window;
-        return make_response(std::move(metadata), std::nullopt);
+    const auto window = m_incoming.reserve(bytes, now);
+    if (!window) {
+        return busy_link_response(call, bytes, window.error());
     }
+    metadata.outcome = forwarding_outcome::reserved;
+    metadata.window = *window;
+    return make_response(std::move(metadata), std::nullopt);
+}
+
+response_message local_target::busy_link_response(const call_metadata& call, std::size_t bytes,
+                                                  milliseconds wait) {
+    response_metadata metadata;
+    metadata.outcome = forwarding_outcome::refused;
     metadata.reason = "link_busy";
-    metadata.retry_after = window.error();
+    metadata.retry_after = wait;
     m_log.write(event_number::call_not_admitted,
                 {{"request", call.request_id},
                  {"from", call.caller_host},
@@ -245,10 +263,46 @@
     return make_response(std::move(metadata), std::nullopt);
 }
 
-asio::awaitable<response_message> local_target::run(call_metadata call, request_message request,
+/// Time until the link can carry the response to the call, if that is too long to run the call now.
+std::optional<milliseconds> local_target::busy_link_wait(const call_metadata& call,
+                                                         common::steady_time now) const {
+    const bool large = call.work == config::work_class::long_work && call.caller_host != m_host &&
+                       m_mean_long_response_bytes > max_unscheduled_response_bytes;
+    return large ? m_outgoing.excessive_wait(now) : std::nullopt;
+}
+
+asio::awaitable<session_response> local_target::send_on_link(const call_metadata& call,
+                                                             response_message response) {
+    const std::size_t bytes = response.body().size();
+    if (call.work == config::work_class::long_work) {
+        const double weight = m_mean_long_response_bytes == 0 ? 1.0 : newest_response_weight;
+        m_mean_long_response_bytes += (static_cast<double>(bytes) - m_mean_long_response_bytes) * weight;
+    }
+    session_response result;
+    result.message = std::move(response);
+    if (call.caller_host == m_host || bytes <= max_unscheduled_response_bytes) {
+        co_return result;
+    }
+    const admission::transfer_window window = m_outgoing.append(bytes, common::steady_clock::now());
+    if (window.begin_after.count() > 0) {
+        asio::steady_timer timer(m_context, window.begin_after);
+        error_code ignored;
+        co_await timer.async_wait(redirect_error_to(ignored));
+    }
+    result.body_send_duration = window.duration;
+    co_return result;
+}
+
+asio::awaitable<session_response> local_target::run(call_metadata call, request_message request,
                                                     cancellation_ptr cancelled) {
     const common::steady_time received = common::steady_clock::now();
     const common::steady_time deadline = received + call.time_left;
+    session_response result;
+    if (const auto wait = busy_link_wait(call, received)) {
+        result.message =
+            busy_link_response(call, static_cast<std::size_t>(m_mean_long_response_bytes), *wait);
+        co_return result;
+    }
     admission::admission_request submission;
     submission.id = {m_next_admission_id++};
     submission.call_id = call.request_id;
@@ -265,7 +319,8 @@
     const admission::admission_id id = submission.id;
     const admission::effect decision = co_await admit(std::move(submission), cancelled);
     if (const auto* refused = std::get_if<admission::refused>(&decision)) {
-        co_return refusal_response(call, *refused, common::steady_clock::now());
+        result.message = refusal_response(call, *refused, common::steady_clock::now());
+        co_return result;
     }
     const common::steady_time granted = common::steady_clock::now();
     target_attempt attempt;
@@ -289,7 +344,9 @@
                  {"time_left", microseconds_between(now, deadline)},
                  {"detail", attempt.metadata.reason}},
                 now);
-    co_return make_response(std::move(attempt.metadata), std::move(attempt.response));
+    response_message response = make_response(std::move(attempt.metadata), std::move(attempt.response));
+    result = co_await send_on_link(call, std::move(response));
+    co_return result;
 }
 
 } // namespace boragehollow::forwarding
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -46,7 +46,7 @@
 
 class daemon_under_test {
 public:
-    explicit daemon_under_test(const common::endpoint& target)
+    explicit daemon_under_test(const common::endpoint& target, double link_megabits = 1'000)
         : m_events("h1", std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}) {
         forwarder_settings settings;
         settings.callers = {"127.0.0.1", 0};
@@ -55,6 +55,7 @@
         settings.router.service = "desk";
         settings.router.names = test_names();
         settings.router.balancing.failure_domain = "z";
+        settings.link_megabits = link_megabits;
         forwarder_sinks sinks;
         sinks.control_request = [](const std::string&, const std::string&, const auto& done) {
             done(std::nullopt);
@@ -100,11 +101,15 @@
         safe.idempotent = true;
         safe.deadline = 1s;
         safe.attempts = 1;
+        config::route pack = safe;
+        pack.name = "pack";
+        pack.path_prefix = "/pack";
+        pack.work = config::work_class::long_work;
         config::route order = safe;
         order.name = "order";
         order.path_prefix = "/order";
         order.idempotent = false;
-        state.routes = {safe, order};
+        state.routes = {safe, pack, order};
         state.limits.header_bytes = 4096;
         state.limits.body_bytes = 100'000;
         const auto active = config::activate_config(state).value();
@@ -165,6 +170,49 @@
     EXPECT_EQ(bodies, 0);
 }
 
+/// Request of another daemon for a call of the route `pack`, whose responses are large.
+std::string peer_download(const std::string& id) {
+    return "GET /pack/a HTTP/1.1\r\nHost: a.example\r\nX-Id: " + id +
+           "\r\nbh-service: desk\r\nbh-caller-host: h2\r\nbh-caller-service: desk\r\nbh-request-id: " + id +
+           "\r\nbh-work: 1\r\nbh-idempotent: 1\r\nbh-priority: 0\r\nbh-time-left-us: 3000000\r\n"
+           "bh-config-version: 1\r\n\r\n";
+}
+
+// Guards against large responses that fill the link of their target's host for seconds: they are sent one
+// after the other, and a call whose response could not be sent soon is refused before it runs.
+TEST(forwarder, large_responses_share_the_link_and_excess_calls_are_refused) {
+    const std::string body(60'000, 'd');
+    std::atomic<int> ran{0};
+    scripted_server target([&](tcp::socket& socket, const std::string& head) {
+        ++ran;
+        send(socket, ok_response(header(head, "X-Id"), body));
+        return true;
+    });
+    // 60 KB take 0.4 s of three quarters of this link.
+    daemon_under_test daemon(target.address(), 1.6);
+    std::vector<std::unique_ptr<raw_client>> peers;
+    const auto started = common::steady_clock::now();
+    for (int i = 0; i < 2; ++i) {
+        peers.push_back(std::make_unique<raw_client>(daemon.get().peer_endpoint()));
+        peers.back()->write(peer_download("d" + std::to_string(i)));
+        std::this_thread::sleep_for(30ms);
+    }
+    raw_client late(daemon.get().peer_endpoint());
+    late.write(peer_download("late"));
+    const std::string refused = late.read();
+    EXPECT_EQ(header(refused, "bh-outcome"), "refused");
+    EXPECT_EQ(header(refused, "bh-reason"), "link_busy");
+    EXPECT_GT(std::stoi("0" + header(refused, "bh-retry-after-ms")), 600);
+    EXPECT_LT(common::steady_clock::now() - started, 500ms);
+    EXPECT_EQ(ran, 2);
+    for (const auto& peer : peers) {
+        EXPECT_TRUE(peer->read().ends_with(body));
+    }
+    const auto elapsed = common::steady_clock::now() - started;
+    EXPECT_GT(elapsed, 700ms);
+    EXPECT_LT(elapsed, 2s);
+}
+
 // Guards against a body that is sent before its reserved window begins, or that is not spread over the window
 // and exceeds the reserved rate.
 TEST(forwarder, large_body_is_sent_in_its_reserved_window) {
