Limit repeated work at the targets instead of at each caller

Cause: a budget of retries at each caller knows neither the calls that repeated calls make nor the retries of the other callers. Change: the daemon beside a target counts first arrivals, retries and inherited repeats in a sliding window and refuses a retry past the ratio, truly as not run. A caller's daemon states whether a target has received the call before, and for calls of its own target the share of running calls that are repeated. A refusal for this reason ends the retries of the call. The window of slices is shared with the budget of the caller's daemon.

--- a/packages/admission/include/boragehollow/admission/admission_controller.hpp
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -4,6 +4,7 @@
 #include "boragehollow/admission/call_queue.hpp"
 #include "boragehollow/admission/duplicate_table.hpp"
 #include "boragehollow/admission/messages.hpp"
+#include "boragehollow/admission/repeat_limit.hpp"
 
 #include <array>
 #include <cstddef>
@@ -21,6 +22,7 @@
     std::size_t max_call_ids = 262'144;     ///< About 20 MB when full.
     std::size_t max_keys = 65'536;
     bool early_refusal = true; ///< Refuses a call at once when its expected wait outlasts its deadline.
+    repeat_ratios repeats{};
 };
 
 /// Counters for metrics and for the load that replies piggyback to the caller's daemon.
@@ -35,7 +37,7 @@
     std::size_t keys = 0;
     std::uint64_t granted = 0;
     std::uint64_t reclassified = 0;
-    std::array<std::uint64_t, 12> refused{}; ///< Indexed by `refusal_reason`.
+    std::array<std::uint64_t, 13> refused{}; ///< Indexed by `refusal_reason`.
 };
 
 /// Decides which calls the local target runs and when. Owned by a single thread; reads no clock and starts no
@@ -73,6 +75,10 @@
 
     admission_status status() const;
 
+    /// Share of the running calls that are repeated work: the probability that a call which the target makes
+    /// now was made by repeated work.
+    double repeated_share() const;
+
     /// True when no granted call is running, so that a stopping daemon may exit.
     bool idle() const { return m_running.empty(); }
 
@@ -82,6 +88,7 @@
         std::optional<std::string> key;
         bool idempotent = false;
         bool counts_as_long = false;
+        double repeated = 0; ///< 1 for a retry; the inherited share for a first attempt.
         steady_time started;
     };
 
@@ -94,6 +101,7 @@
     std::optional<config::work_class> next_work_class() const;
     microseconds mean_service_time(config::work_class work) const;
     microseconds expected_wait(const admission_request& request, steady_time now) const;
+    bool refuse_excess_retry(const admission_request& request, steady_time now, effects& out);
     void start_call(admission_request request, steady_time now, effects& out);
     void refuse(const admission_request& request, refusal_reason reason, milliseconds retry_after,
                 effects& out);
@@ -120,6 +128,7 @@
     adaptive_limit m_limit;
     call_queue m_short_queue;
     call_queue m_long_queue;
+    repeat_limit m_repeats;
     duplicate_table m_call_ids;
     duplicate_table m_keys;
     std::unordered_map<std::uint64_t, running_call> m_running;
--- a/packages/admission/include/boragehollow/admission/messages.hpp
+++ b/packages/admission/include/boragehollow/admission/messages.hpp
@@ -37,6 +37,9 @@
     std::uint32_t priority = 0;                 ///< 0 is the highest. Used by priority queueing only.
     std::optional<steady_time> soft_deadline{}; ///< End of the route's target latency.
     bool accepts_late = true;                   ///< Queue the call even if it will miss `soft_deadline`.
+    bool retry = false;                         ///< A target has received this call before.
+    /// Probability that a repeated call made this call.
+    double inherited_repeats = 0;
 };
 
 enum class target_state { starting, ready, draining };
@@ -70,6 +73,7 @@
     duplicate_key,  ///< The idempotency key is queued, running or within its retention time.
     call_table_full,
     key_table_full,
+    retry_limit, ///< The target takes no further retry for now.
 };
 
 /// True when an earlier submission of the call may have run. All other reasons mean "not run".
--- a/packages/admission/src/admission_controller.cpp
+++ b/packages/admission/src/admission_controller.cpp
@@ -27,7 +27,8 @@
 } // namespace
 
 admission_controller::admission_controller(admission_settings settings)
-    : m_settings(settings), m_call_ids(settings.max_call_ids, settings.longest_deadline),
+    : m_settings(settings), m_repeats(settings.repeats),
+      m_call_ids(settings.max_call_ids, settings.longest_deadline),
       m_keys(settings.max_keys, settings.key_window) {}
 
 admission_controller::effects admission_controller::submit(admission_request request, steady_time now) {
@@ -56,6 +57,9 @@
         refuse(request, refusal_reason::key_table_full, table_full_retry_after, out);
         return out;
     }
+    if (refuse_excess_retry(request, now, out)) {
+        return out;
+    }
     if (queue_of(request.work).empty() && may_run(request.work)) {
         start_call(std::move(request), now, out);
         return out;
@@ -200,7 +204,21 @@
     return true;
 }
 
+bool admission_controller::refuse_excess_retry(const admission_request& request, steady_time now,
+                                               effects& out) {
+    if (!request.retry || m_repeats.allows_retry(now)) {
+        return false;
+    }
+    refuse(request, refusal_reason::retry_limit, milliseconds(0), out);
+    return true;
+}
+
 void admission_controller::start_call(admission_request request, steady_time now, effects& out) {
+    if (request.retry) {
+        m_repeats.record_retry(now);
+    } else {
+        m_repeats.record_first(request.inherited_repeats, now);
+    }
     const bool is_long = request.work == work_class::long_work;
     if (!request.idempotent || !m_call_ids.full(now)) {
         m_call_ids.hold(request.call_id);
@@ -218,7 +236,8 @@
     out.emplace_back(granted{request.id, request.call_id});
     m_running.emplace(request.id.value,
                       running_call{std::move(request.call_id), std::move(request.idempotency_key),
-                                   request.idempotent, is_long, now});
+                                   request.idempotent, is_long,
+                                   request.retry ? 1.0 : request.inherited_repeats, now});
 }
 
 admission_controller::effects admission_controller::finish(admission_id id, microseconds latency,
@@ -380,7 +399,13 @@
     // disconnected.
     refuse_expired(now, out);
     while (const std::optional<work_class> work = next_work_class()) {
-        start_call(queue_of(*work).pop(now, mean_service_time(*work)).request, now, out);
+        admission_request request = queue_of(*work).pop(now, mean_service_time(*work)).request;
+        // Other retries may have used up the limit while this one waited.
+        if (request.retry && !m_repeats.allows_retry(now)) {
+            refuse_queued(request, refusal_reason::retry_limit, milliseconds(0), out);
+            continue;
+        }
+        start_call(std::move(request), now, out);
     }
 }
 
@@ -426,6 +451,17 @@
     return work == work_class::long_work ? m_long_queue : m_short_queue;
 }
 
+double admission_controller::repeated_share() const {
+    if (m_running.empty()) {
+        return 0;
+    }
+    double repeated = 0;
+    for (const auto& [id, call] : m_running) {
+        repeated += call.repeated;
+    }
+    return repeated / static_cast<double>(m_running.size());
+}
+
 admission_status admission_controller::status() const {
     admission_status status = m_counters;
     status.slots = m_target ? m_target->slots : 0;
--- a/packages/admission/src/messages.cpp
+++ b/packages/admission/src/messages.cpp
@@ -32,6 +32,8 @@
         return "call_table_full";
     case refusal_reason::key_table_full:
         return "key_table_full";
+    case refusal_reason::retry_limit:
+        return "retry_limit";
     }
     return "unknown";
 }
--- a/packages/balancing/include/boragehollow/balancing/attempt_budget.hpp
+++ b/packages/balancing/include/boragehollow/balancing/attempt_budget.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "boragehollow/common/sliding_window.hpp"
 #include "boragehollow/common/time.hpp"
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 
@@ -26,19 +26,22 @@
     bool try_take(steady_time now);
 
 private:
-    static constexpr std::size_t slice_count = 10;
-
-    struct slice {
+    struct totals {
         std::uint64_t calls = 0;
         std::uint64_t taken = 0;
+
+        totals& operator+=(const totals& other) {
+            calls += other.calls;
+            taken += other.taken;
+            return *this;
+        }
     };
 
-    slice& current(steady_time now);
+    static constexpr std::size_t slice_count = 10;
 
     double m_ratio = 0;
     double m_min_per_second = 0;
-    std::array<slice, slice_count> m_slices{};
-    std::int64_t m_newest = 0; ///< Index of the newest slice since the epoch of the clock.
+    common::sliding_window<totals, slice_count> m_window{window};
 };
 
 } // namespace boragehollow::balancing
--- a/packages/balancing/include/boragehollow/balancing/retry_controller.hpp
+++ b/packages/balancing/include/boragehollow/balancing/retry_controller.hpp
@@ -20,6 +20,8 @@
 /// The target's daemon refused the call before it reached the target.
 struct daemon_refused {
     milliseconds retry_after{0};
+    /// The service takes no further retry for now, so another target would refuse the call as well.
+    bool retries_exhausted = false;
 };
 
 /// The connection failed before the request was sent.
--- a/packages/balancing/src/retry_controller.cpp
+++ b/packages/balancing/src/retry_controller.cpp
@@ -39,7 +39,8 @@
             [&](const daemon_refused& refusal) -> retry_decision {
                 ++m_refusals;
                 m_retry_after = std::max(m_retry_after, refusal.retry_after);
-                return m_refusals < max_refusals ? try_again(attempt_kind::redirect, now) : give_up();
+                const bool hopeless = refusal.retries_exhausted || m_refusals >= max_refusals;
+                return hopeless ? give_up() : try_again(attempt_kind::redirect, now);
             },
             [&](const request_not_sent&) -> retry_decision {
                 ++m_refusals;
--- a/packages/balancing/tests/retry_controller_test.cpp
+++ b/packages/balancing/tests/retry_controller_test.cpp
@@ -41,6 +41,17 @@
     EXPECT_EQ(controller.sent_to_targets(), 0U);
 }
 
+// Guards against a retry that is offered to one target after the other although the service has used up its
+// retries, and against a false outcome of the refused call.
+TEST(retry_controller, gives_up_at_once_when_the_service_takes_no_retry) {
+    retry_controller shed(limits(false, 3));
+    EXPECT_TRUE(is<start_attempt>(shed.decide(target_responded{503, true}, start)));
+    EXPECT_TRUE(is<refuse_call>(shed.decide(daemon_refused{0ms, true}, start)));
+    retry_controller lost(limits(true, 3));
+    EXPECT_TRUE(is<start_attempt>(lost.decide(response_lost{}, start)));
+    EXPECT_TRUE(is<fail_call>(lost.decide(daemon_refused{0ms, true}, start)));
+}
+
 // Guards against a "not run" outcome for a call that may have run, and against a retry delay shorter than the
 // longest one stated by a daemon.
 TEST(retry_controller, refuses_only_calls_that_have_not_run) {
--- a/packages/forwarding/include/boragehollow/forwarding/local_target.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/local_target.hpp
@@ -55,6 +55,7 @@
     void set_config_version(common::revision version) { m_config_version = version; }
     bool idle() const { return m_admission.idle(); }
     admission::admission_status status() const { return m_admission.status(); }
+    double repeated_share() const { return m_admission.repeated_share(); }
     const pool_counters& connections() const { return m_pool.counters(); }
     void close_expired(common::steady_time now) { m_pool.close_expired(now); }
 
--- a/packages/forwarding/include/boragehollow/forwarding/mesh_headers.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/mesh_headers.hpp
@@ -28,6 +28,9 @@
     std::optional<std::chrono::microseconds> soft_deadline_left;
     bool accepts_late = true; ///< The call waits even if its response will miss the soft deadline.
     common::revision config_version;
+    bool retry = false; ///< A target has received this call before.
+    /// Probability that a repeated call of the caller's own target made this call, in thousandths.
+    std::uint32_t inherited_repeats_permille = 0;
     /// Set in a reservation request, which carries no body: the size of the body that the caller's daemon
     /// will send later.
     std::optional<std::size_t> transfer_bytes;
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -36,6 +36,8 @@
 /// Retry-After when no target is known: the announcement of a new target arrives within about a second.
 constexpr milliseconds no_target_retry_after{400};
 
+const std::string_view retry_limit_reason = admission::to_string(admission::refusal_reason::retry_limit);
+
 /// Fraction of Retry-After that is added at random, so that callers do not retry at the same time.
 constexpr double retry_after_jitter = 0.5;
 
@@ -63,6 +65,8 @@
     balancing::late_response_policy late_responses;
     std::string attempt_trace; ///< Host and outcome of each attempt, for the log.
     std::uint32_t attempts = 0;
+    bool received_by_target = false; ///< An attempt may have reached a target, whether it ran there or not.
+    double inherited_repeats = 0;
 };
 
 struct call_router::attempt {
@@ -175,6 +179,7 @@
 
 asio::awaitable<response_message> call_router::handle(request_message request, request_context context) {
     call current;
+    current.inherited_repeats = context.from_own_host ? m_own_target.repeated_share() : 0;
     if (auto rejection = prepare_call(request, current)) {
         co_return std::move(*rejection);
     }
@@ -229,6 +234,7 @@
             co_return finish_call(current, balancing::fail_call{}, std::nullopt);
         }
         const balancing::retry_decision decision = retries.decide(result.end, common::steady_clock::now());
+        current.received_by_target = retries.sent_to_targets() > 0;
         const auto* next_attempt = std::get_if<balancing::start_attempt>(&decision);
         if (next_attempt == nullptr) {
             co_return finish_call(current, decision, std::move(last_response));
@@ -268,6 +274,8 @@
         metadata.accepts_late = *current.soft_deadline <= now || current.late_responses.accepts_late();
     }
     metadata.config_version = m_routes->snapshot()->version;
+    metadata.retry = current.received_by_target;
+    metadata.inherited_repeats_permille = static_cast<std::uint32_t>(current.inherited_repeats * 1'000);
     request_message request = current.request;
     if (target.host == m_settings.host) {
         session_response response =
@@ -399,7 +407,8 @@
         break;
     }
     case forwarding_outcome::refused:
-        result.end = balancing::daemon_refused{target_metadata->retry_after};
+        result.end = balancing::daemon_refused{target_metadata->retry_after,
+                                               target_metadata->reason == retry_limit_reason};
         result.outcome = attempt_outcome::refused;
         break;
     case forwarding_outcome::unsent:
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -259,7 +259,7 @@
                  {"reason", metadata.reason},
                  {"bytes", bytes},
                  {"retry_after", metadata.retry_after}},
-                now);
+                common::steady_clock::now());
     return make_response(std::move(metadata), std::nullopt);
 }
 
@@ -316,6 +316,8 @@
         submission.soft_deadline = received + *call.soft_deadline_left;
     }
     submission.accepts_late = call.accepts_late;
+    submission.retry = call.retry;
+    submission.inherited_repeats = call.inherited_repeats_permille / 1'000.0;
     const admission::admission_id id = submission.id;
     const admission::effect decision = co_await admit(std::move(submission), cancelled);
     if (const auto* refused = std::get_if<admission::refused>(&decision)) {
--- a/packages/forwarding/src/mesh_headers.cpp
+++ b/packages/forwarding/src/mesh_headers.cpp
@@ -23,6 +23,8 @@
 constexpr std::string_view time_left_header = "bh-time-left-us";
 constexpr std::string_view soft_deadline_left_header = "bh-aim-left-us";
 constexpr std::string_view accepts_late_header = "bh-accepts-late";
+constexpr std::string_view retry_header = "bh-retry";
+constexpr std::string_view inherited_repeats_header = "bh-inherited-repeats";
 constexpr std::string_view transfer_bytes_header = "bh-transfer-bytes";
 constexpr std::string_view begin_after_header = "bh-begin-after-ms";
 constexpr std::string_view duration_header = "bh-duration-ms";
@@ -111,6 +113,12 @@
     }
     set_number(request, accepts_late_header, call.accepts_late ? 1 : 0);
     set_number(request, version_header, call.config_version.value);
+    if (call.retry) {
+        set_number(request, retry_header, 1);
+    }
+    if (call.inherited_repeats_permille > 0) {
+        set_number(request, inherited_repeats_header, call.inherited_repeats_permille);
+    }
     if (call.transfer_bytes) {
         set_number(request, transfer_bytes_header, *call.transfer_bytes);
     }
@@ -139,6 +147,9 @@
     }
     call.accepts_late = read_number(request, accepts_late_header).value_or(1) == 1;
     call.config_version = {*version};
+    call.retry = read_number(request, retry_header).value_or(0) == 1;
+    call.inherited_repeats_permille = static_cast<std::uint32_t>(
+        std::min<std::uint64_t>(1'000, read_number(request, inherited_repeats_header).value_or(0)));
     call.transfer_bytes = read_number(request, transfer_bytes_header);
     if (call.service.empty()) {
         return std::nullopt;
--- a/packages/forwarding/tests/mesh_headers_test.cpp
+++ b/packages/forwarding/tests/mesh_headers_test.cpp
@@ -10,8 +10,9 @@
 // Guards against call metadata that is lost between two daemons, and against mesh headers that are forwarded
 // to the target.
 TEST(mesh_headers, call_metadata_round_trips_and_is_removed) {
-    call_metadata call{"desk", "h1",  "drawings", "id-1", config::work_class::long_work, true, 3, 1500us,
-                       700us,  false, {7},        60'000};
+    call_metadata call{"desk", "h1", "drawings", "id-1", config::work_class::long_work,
+                       true,   3,    1500us,     700us,  false,
+                       {7},    true, 125,        60'000};
     request_message request{http::verb::get, "/x", 11};
     request.set("X-Other", "kept");
     write_call_metadata(call, request);
@@ -28,6 +29,8 @@
     EXPECT_EQ(read->soft_deadline_left, 700us);
     EXPECT_FALSE(read->accepts_late);
     EXPECT_EQ(read->config_version.value, 7U);
+    EXPECT_TRUE(read->retry);
+    EXPECT_EQ(read->inherited_repeats_permille, 125U);
     EXPECT_EQ(read->transfer_bytes, 60'000U);
     EXPECT_EQ(std::distance(request.begin(), request.end()), 1);
 }
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -34,9 +34,13 @@
 constexpr std::size_t instance_ring_size = 64;
 constexpr std::size_t watch_ring_size = 64;
 
-/// All daemons together may retry a fifth of a service's calls. The calls that a retried call makes count as
-/// retries at the service behind it, so that each of two services in a row gets less than half of that.
-constexpr double retry_budget_ratio = 0.08;
+/// All daemons together may retry a fifth of a service's calls; the calls that a retried call makes count as
+/// retries at the service behind it. The daemon beside each target keeps the ratio, so that the first of two
+/// services in a row takes half of it and the second one the rest.
+constexpr admission::repeat_ratios repeat_ratios{.max_retries = 0.1, .max_repeated_work = 0.16};
+
+/// A daemon's own budget only saves requests that the targets' daemons would refuse.
+constexpr double retry_budget_ratio = 0.16;
 
 /// Callers that can retry later gain nothing from a longer wait in the queue.
 constexpr std::chrono::milliseconds max_queue_wait{1'000};
@@ -340,6 +344,7 @@
     forwarding.router.names = platform::platform_header_names();
     forwarding.router.balancing = {settings.identity.failure_domain, settings.calls.key_window};
     forwarding.admission = {settings.calls.longest_deadline, settings.calls.key_window};
+    forwarding.admission.repeats = repeat_ratios;
     forwarding.link_megabits = settings.limits.link_megabits;
     forwarding.ring_size = settings.rings.dispatch;
     forwarding::forwarder_sinks sinks;
