Put versions in force in time on slow hosts: cached decoding, readers with fast links

The log readers of a failure domain were chosen without regard to their links: a reader on 12 Mbit/s sends each version to its domain.

--- a/packages/codec/src/member_codec.cpp
+++ b/packages/codec/src/member_codec.cpp
@@ -104,6 +104,7 @@
     message.set_incarnation(value.incarnation);
     message.set_state(to_message(value.state));
     message.set_target_sequence(value.target_sequence);
+    message.set_link_megabits(value.link_megabits);
     if (value.target == membership::target_announcement{}) {
         return;
     }
@@ -138,6 +139,7 @@
     value.target.slots = message.target().slots();
     value.target.state = *target;
     value.target_sequence = message.target_sequence();
+    value.link_megabits = message.link_megabits();
     return value;
 }
 
--- a/packages/codec/tests/member_codec_test.cpp
+++ b/packages/codec/tests/member_codec_test.cpp
@@ -19,6 +19,7 @@
     value.state = membership::member_state::suspect;
     value.target = {"order-desk", {{"version", "v1"}, {"zone", ""}}, 6, membership::target_state::draining};
     value.target_sequence = 9;
+    value.link_megabits = 1'000'000;
     return value;
 }
 
--- a/packages/config/include/boragehollow/config/versioned_config.hpp
+++ b/packages/config/include/boragehollow/config/versioned_config.hpp
@@ -40,7 +40,8 @@
 };
 
 /// Validates all resources and references and returns the active configuration. A single error rejects the
-/// whole state.
-tl::expected<active_config, std::string> activate_config(const versioned_config& state);
+/// whole state. The result shares the resources that did not change with `previous`, which may be null.
+tl::expected<active_config, std::string> activate_config(const versioned_config& state,
+                                                         const config_snapshot* previous = nullptr);
 
 } // namespace boragehollow::config
--- a/packages/config/src/versioned_config.cpp
+++ b/packages/config/src/versioned_config.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/config/versioned_config.hpp"
 
+#include <set>
 #include <utility>
 
 namespace boragehollow::config {
@@ -10,20 +11,47 @@
     return key_of(value).name + "." + error.field + " " + error.detail;
 }
 
+/// Erases the resources that the new state does not contain.
+void erase_others(config_snapshot& snapshot, const std::vector<resource>& resources) {
+    std::set<resource_key> kept;
+    for (const resource& value : resources) {
+        kept.insert(key_of(value));
+    }
+    if (snapshot.resources.size() == kept.size()) {
+        return;
+    }
+    const resource_map before = snapshot.resources;
+    for (const auto& [key, stored] : before) {
+        if (!kept.contains(key)) {
+            snapshot.resources = snapshot.resources.erase(key);
+        }
+    }
+}
+
 } // namespace
 
-tl::expected<active_config, std::string> activate_config(const versioned_config& state) {
+tl::expected<active_config, std::string> activate_config(const versioned_config& state,
+                                                         const config_snapshot* previous) {
     auto snapshot = std::make_shared<config_snapshot>();
     snapshot->version = state.version;
+    if (previous != nullptr) {
+        snapshot->resources = previous->resources;
+    }
     std::vector<resource> resources(state.services.begin(), state.services.end());
     resources.insert(resources.end(), state.routes.begin(), state.routes.end());
     for (const resource& value : resources) {
+        const resource_key key = key_of(value);
+        const stored_resource* known = snapshot->find(key);
+        if (known != nullptr && known->value == value) {
+            continue;
+        }
         const std::vector<field_error> errors = validate(value);
         if (!errors.empty()) {
             return tl::unexpected(describe(value, errors.front()));
         }
-        snapshot->resources = snapshot->resources.insert(key_of(value), {value, state.version});
+        snapshot->resources = snapshot->resources.insert(key, {value, state.version});
     }
+    erase_others(*snapshot, resources);
     for (const resource& value : resources) {
         for (const std::string& service : referenced_services(value)) {
             if (!snapshot->has_service(service)) {
--- a/packages/config/tests/versioned_config_test.cpp
+++ b/packages/config/tests/versioned_config_test.cpp
@@ -38,6 +38,31 @@
     EXPECT_FALSE(activate_config(state).has_value());
 }
 
+// Guards against a removed route that stays active, and against a changed one that keeps its old content,
+// when the new version shares its resources with the previous one.
+TEST(versioned_config, a_version_that_follows_another_contains_its_own_resources_only) {
+    versioned_config first = valid_config();
+    first.routes.push_back({.name = "removed", .path_prefix = "/r", .service = "desk"});
+    first.services.push_back({.name = "ended"});
+    const auto before = activate_config(first).value();
+    versioned_config second = valid_config();
+    second.version = {13};
+    second.routes.front().priority = 7;
+    second.routes.push_back({.name = "added", .path_prefix = "/a", .service = "desk"});
+    const auto after = activate_config(second, before.snapshot.get()).value();
+    const auto alone = activate_config(second).value();
+    EXPECT_EQ(after.snapshot->find({resource_kind::route, "removed"}), nullptr);
+    EXPECT_FALSE(after.snapshot->has_service("ended"));
+    EXPECT_EQ(after.snapshot->resources.size(), alone.snapshot->resources.size());
+    for (const auto& [key, stored] : alone.snapshot->resources) {
+        ASSERT_NE(after.snapshot->find(key), nullptr) << key.name;
+        EXPECT_EQ(after.snapshot->find(key)->value, stored.value) << key.name;
+    }
+    EXPECT_EQ(before.snapshot->find({resource_kind::route, "orders"})->changed_at, revision{12});
+    second.routes.push_back({.name = "dangling", .path_prefix = "/d", .service = "ended"});
+    EXPECT_FALSE(activate_config(second, before.snapshot.get()).has_value());
+}
+
 // Guards against a split route whose backends receive no calls.
 TEST(versioned_config, rejects_a_split_route_without_weight) {
     versioned_config state = valid_config();
--- a/packages/daemon/include/boragehollow/daemon/state_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_duty.hpp
@@ -20,10 +20,14 @@
 
 namespace boragehollow::daemon {
 
-/// A configuration document from the platform or from another daemon.
+/// A configuration document from the platform.
 struct document_received {
     std::string document;
-    bool from_peer = false;
+};
+
+/// A compressed configuration document from another daemon.
+struct peer_document_received {
+    std::string compressed;
 };
 
 /// Another daemon reported a newer version.
@@ -39,12 +43,13 @@
     reading_mode mode;
 };
 
-using state_message = std::variant<document_received, newer_version_observed, reading_mode_changed>;
+using state_message =
+    std::variant<document_received, peer_document_received, newer_version_observed, reading_mode_changed>;
 
-/// Document of the active version, served to other daemons on request.
+/// Document of the active version, in the form in which other daemons receive it.
 struct active_document {
     common::revision version;
-    std::string document;
+    std::string compressed;
 };
 
 /// Receivers of the state duty's decisions.
@@ -54,15 +59,19 @@
     std::function<void()> read_platform;                     ///< Requests one read of the platform.
 };
 
-using document_decoder =
-    std::function<tl::expected<config::versioned_config, std::string>(const std::string&)>;
+/// Decoding of the platform's documents. The version is decoded first: during a storm of versions, several
+/// daemons deliver the same document.
+struct document_decoding {
+    std::function<tl::expected<common::revision, std::string>(const std::string&)> version;
+    std::function<tl::expected<config::versioned_config, std::string>(const std::string&)> document;
+};
 
 /// Thread that activates configuration documents, but only complete, valid and newer ones. It fetches a newer
 /// version from a daemon that reports it: at once if this daemon does not read the platform continuously,
 /// otherwise after a delay, so that the daemon still converges when the platform refuses its reads.
 class state_duty {
 public:
-    state_duty(document_decoder decode, state_sinks sinks, std::size_t ring_size,
+    state_duty(document_decoding decode, state_sinks sinks, std::size_t ring_size,
                common::random_source random, const telemetry::event_log& events);
     ~state_duty();
 
@@ -73,18 +82,22 @@
 
 private:
     void run();
-    void handle(document_received& message, common::steady_time now);
+    void handle(const document_received& message, common::steady_time now);
+    void handle(const peer_document_received& message, common::steady_time now);
     void handle(const newer_version_observed& message, common::steady_time now);
     void handle(const reading_mode_changed& message, common::steady_time now);
     std::chrono::milliseconds fetch_delay();
+    /// Activates the document if it is valid and newer; true when it did.
+    bool activate(const std::string& document);
     void fetch_if_due(common::steady_time now);
 
-    document_decoder m_decode;
+    document_decoding m_decode;
     state_sinks m_sinks;
     const telemetry::event_log& m_events;
     common::random_source m_random;
     reading_mode m_mode = continuous_reading{};
     common::revision m_version;
+    std::shared_ptr<const config::config_snapshot> m_snapshot; ///< Active one.
     common::shared_snapshot<active_document> m_document;
     std::optional<newer_version_observed> m_newer;
     common::steady_time m_fetch_at;
--- a/packages/daemon/src/mesh_view.cpp
+++ b/packages/daemon/src/mesh_view.cpp
@@ -32,7 +32,13 @@
 }
 
 std::vector<std::string> mesh_view::readers(const std::string& failure_domain) const {
-    return membership::log_readers(failure_domain, live_hosts(failure_domain));
+    std::vector<membership::reader_candidate> candidates;
+    for (const auto& [host, value] : hosts) {
+        if (value->failure_domain == failure_domain && reachable(*value)) {
+            candidates.push_back({host, value->link_megabits});
+        }
+    }
+    return membership::log_readers(failure_domain, candidates);
 }
 
 std::string mesh_view::compactor() const {
--- a/packages/daemon/src/state_duty.cpp
+++ b/packages/daemon/src/state_duty.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/daemon/state_duty.hpp"
 
+#include "boragehollow/codec/document_compression.hpp"
 #include "boragehollow/common/overloaded.hpp"
 
 #include <algorithm>
@@ -34,7 +35,7 @@
 
 } // namespace
 
-state_duty::state_duty(document_decoder decode, state_sinks sinks, std::size_t ring_size,
+state_duty::state_duty(document_decoding decode, state_sinks sinks, std::size_t ring_size,
                        common::random_source random, const telemetry::event_log& events)
     : m_decode(std::move(decode)), m_sinks(std::move(sinks)), m_events(events), m_random(random),
       m_ring(ring_size), m_thread("state", [this](const std::stop_token&) { run(); }) {}
@@ -61,39 +62,65 @@
     }
 }
 
-void state_duty::handle(document_received& message, common::steady_time) {
-    auto decoded = m_decode(message.document);
-    if (!decoded) {
-        m_events.emit(event_number::config_undecodable,
-                      {{"detail", decoded.error()}, {"bytes", message.document.size()}});
+void state_duty::handle(const document_received& message, common::steady_time) {
+    if (activate(message.document)) {
+        m_document.store(std::make_shared<const active_document>(
+            active_document{m_version, codec::compress_document(message.document)}));
+    }
+}
+
+void state_duty::handle(const peer_document_received& message, common::steady_time) {
+    const auto document = codec::decompress_document(message.compressed);
+    if (!document) {
+        m_events.emit(event_number::peer_message_invalid,
+                      {{"request", "document"}, {"detail", codec::to_string(document.error())}});
         return;
     }
-    if (decoded->version <= m_version) {
-        if (decoded->version < m_version) {
+    if (activate(*document)) {
+        m_document.store(
+            std::make_shared<const active_document>(active_document{m_version, message.compressed}));
+        m_events.emit(event_number::config_fetched_from_peer, {{"version", m_version.value}});
+    }
+}
+
+bool state_duty::activate(const std::string& document) {
+    const auto version = m_decode.version(document);
+    if (version && *version <= m_version) {
+        if (*version < m_version) {
             m_events.emit(event_number::config_older_version_refused,
-                          {{"offered", decoded->version.value}, {"in_force", m_version.value}});
+                          {{"offered", version->value}, {"in_force", m_version.value}});
         }
-        return;
+        return false;
+    }
+    const auto decoded =
+        version ? m_decode.document(document)
+                : tl::expected<config::versioned_config, std::string>(tl::unexpect, version.error());
+    if (!decoded) {
+        m_events.emit(event_number::config_undecodable,
+                      {{"detail", decoded.error()}, {"bytes", document.size()}});
+        return false;
     }
-    const auto state = config::activate_config(*decoded);
+    const auto state = config::activate_config(*decoded, m_snapshot.get());
     if (!state) {
         m_events.emit(event_number::config_rejected,
                       {{"version", decoded->version.value}, {"detail", state.error()}});
-        return;
+        return false;
     }
     m_version = decoded->version;
-    m_document.store(
-        std::make_shared<const active_document>(active_document{m_version, std::move(message.document)}));
+    m_snapshot = state->snapshot;
     m_sinks.activated(
         *state, std::make_shared<const routing::route_table>(routing::route_table::build(state->snapshot)));
-    if (message.from_peer) {
-        m_events.emit(event_number::config_fetched_from_peer, {{"version", m_version.value}});
-    }
     m_events.emit(event_number::config_applied,
                   {{"version", m_version.value}, {"routes", decoded->routes.size()}});
     if (m_newer && m_newer->version <= m_version) {
         m_newer.reset();
     }
+    if (m_newer && m_fetches > 0) {
+        // The peer makes progress, so it is asked again and soon.
+        m_fetches = 1;
+        m_fetch_at = std::min(m_fetch_at, m_last_fetch + min_fetch_interval);
+    }
+    return true;
 }
 
 void state_duty::handle(const newer_version_observed& message, common::steady_time now) {
--- a/packages/membership/include/boragehollow/membership/member.hpp
+++ b/packages/membership/include/boragehollow/membership/member.hpp
@@ -36,6 +36,7 @@
     target_announcement target{};
     /// Incremented with each change of the announcement within an incarnation.
     std::uint64_t target_sequence = 0;
+    std::uint32_t link_megabits = 0; ///< Bandwidth of the host's link, in Mbit/s; 0 when not stated.
 
     bool operator==(const member&) const = default;
 };
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -134,6 +134,8 @@
     common::steady_time next_wakeup() const;
 
     std::shared_ptr<const target_directory> directory(common::steady_time now);
+    /// True when another daemon has sent its whole member table.
+    bool has_whole_table() const { return m_has_whole_table; }
     const member& self() const { return *m_self; }
     member_ref find(std::string_view host) const;
     std::vector<member_ref> members() const;
--- a/packages/membership/include/boragehollow/membership/roles.hpp
+++ b/packages/membership/include/boragehollow/membership/roles.hpp
@@ -3,6 +3,7 @@
 #include "boragehollow/membership/member.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -14,7 +15,19 @@
 
 inline constexpr std::size_t readers_per_domain = 2;
 
-/// Returns the live members of `failure_domain` that read the platform's log, in order of preference.
+/// Live member that may become a log reader.
+struct reader_candidate {
+    std::string host;
+    std::uint32_t link_megabits = 0; ///< 0 when not stated.
+};
+
+/// Returns the live members of `failure_domain` that read the platform's log, in order of preference. A
+/// reader sends each version to its whole domain, so members with a slow link are chosen only if there are
+/// too few others.
+std::vector<std::string> log_readers(std::string_view failure_domain,
+                                     const std::vector<reader_candidate>& live_members);
+
+/// For members of which the bandwidth is not known.
 std::vector<std::string> log_readers(std::string_view failure_domain,
                                      const std::vector<std::string>& live_hosts);
 
--- a/packages/membership/src/datagram.cpp
+++ b/packages/membership/src/datagram.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 // Field headers, varints of at most 10 bytes, and length prefixes of nested messages, rounded up.
-constexpr std::size_t member_overhead = 44;
+constexpr std::size_t member_overhead = 50;
 constexpr std::size_t endpoint_overhead = 8;
 constexpr std::size_t group_overhead = 20;
 constexpr std::size_t label_overhead = 8;
--- a/packages/membership/src/membership_engine_sync.cpp
+++ b/packages/membership/src/membership_engine_sync.cpp
@@ -98,7 +98,11 @@
     sync_reply_result result;
     sync_request next;
     apply_all(reply.members, m_has_whole_table, now, result.effects);
-    m_has_whole_table = m_has_whole_table || !reply.members.empty();
+    if (!m_has_whole_table && !reply.members.empty()) {
+        m_has_whole_table = true;
+        // Also without any target, the directory is complete now.
+        mark_directory_changed(now);
+    }
     for (const member_ref& received : reply.members) {
         member_ref known = m_table.find(received->host);
         const bool newer_here = known && known->host != m_self->host && join(*known, *received) != *received;
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -274,8 +274,14 @@
     }
     std::vector<std::string> hosts = m_own_domain_members.hosts();
     hosts.push_back(m_self->host);
+    std::vector<reader_candidate> candidates;
+    candidates.reserve(hosts.size());
+    for (const std::string& host : hosts) {
+        const member_ref known = m_table.find(host);
+        candidates.push_back({host, known ? known->link_megabits : 0});
+    }
     domain_roles current;
-    current.readers = log_readers(m_self->failure_domain, hosts);
+    current.readers = log_readers(m_self->failure_domain, candidates);
     current.collectors = progress_collectors(m_self->failure_domain, hosts);
     for (const std::string& host : hosts) {
         current.host_by_hash.emplace(common::stable_hash(host), host);
--- a/packages/membership/tests/member_table_test.cpp
+++ b/packages/membership/tests/member_table_test.cpp
@@ -164,5 +164,27 @@
     EXPECT_FALSE(compactor({}));
 }
 
+// Guards against readers on slow links: a storm of versions with large documents then fills the link of a
+// reader and its domain gets each version seconds late.
+TEST(roles, log_readers_are_members_with_fast_links) {
+    std::vector<reader_candidate> members;
+    for (int i = 0; i < 20; ++i) {
+        members.push_back({"h" + std::to_string(i), i % 7 == 0 ? 140U : 7U});
+    }
+    const std::vector<std::string> chosen = log_readers("a", members);
+    ASSERT_EQ(chosen.size(), readers_per_domain);
+    for (const std::string& host : chosen) {
+        EXPECT_TRUE(host == "h0" || host == "h7" || host == "h14") << host;
+    }
+    // One fast member is left.
+    std::erase_if(members, [](const reader_candidate& member) {
+        return member.link_megabits == 140 && member.host != "h7";
+    });
+    const std::vector<std::string> fewer = log_readers("a", members);
+    ASSERT_EQ(fewer.size(), readers_per_domain);
+    EXPECT_EQ(fewer[0], "h7");
+    EXPECT_NE(fewer[1], "h7");
+}
+
 } // namespace
 } // namespace boragehollow::membership
--- a/programs/boragehollowd/conversions.cpp
+++ b/programs/boragehollowd/conversions.cpp
@@ -1,5 +1,6 @@
 #include "conversions.hpp"
 
+#include <cmath>
 #include <utility>
 
 namespace boragehollow::daemon {
@@ -82,6 +83,7 @@
     self.gossip = std::move(gossip);
     self.peer = std::move(peer);
     self.incarnation = membership::first_incarnation(common::wall_now());
+    self.link_megabits = static_cast<std::uint32_t>(std::ceil(settings.limits.link_megabits));
     return self;
 }
 
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -4,7 +4,6 @@
 #include "document_listeners.hpp"
 #include "document_pipeline_components.hpp"
 
-#include "boragehollow/codec/document_compression.hpp"
 #include "boragehollow/codec/member_codec.hpp"
 #include "boragehollow/daemon/target_views.hpp"
 #include "boragehollow/platform/document_codec.hpp"
@@ -93,25 +92,17 @@
     sinks.fetch = when_components_ready(daemon, [&daemon](const common::endpoint& peer) {
         daemon.forwarder->post(forwarding::send_control_request{
             peer, document_path, {}, control_timeout, [&daemon](std::optional<std::string> body) {
-                if (!body) {
-                    return;
+                if (body) {
+                    daemon.state->ring().try_push(peer_document_received{std::move(*body)});
                 }
-                auto document = codec::decompress_document(*body);
-                if (!document) {
-                    daemon.events.emit(
-                        event_number::peer_message_invalid,
-                        {{"request", document_path}, {"detail", codec::to_string(document.error())}});
-                    return;
-                }
-                daemon.state->ring().try_push(document_received{std::move(*document), true});
             }});
     });
     sinks.read_platform =
         when_components_ready(daemon, [&daemon] { daemon.state_source->ring().try_push(read_now{}); });
+    const auto decoder = std::make_shared<platform::document_decoder>(document_policy());
     daemon.state = std::make_unique<state_duty>(
-        [policy = document_policy()](const std::string& text) {
-            return platform::decode_document(text, policy);
-        },
+        document_decoding{[decoder](const std::string& text) { return decoder->decode_version(text); },
+                          [decoder](const std::string& text) { return decoder->decode(text); }},
         std::move(sinks), state_ring_size, common::random_source::from_system(), daemon.events);
     const auto reader =
         std::make_shared<platform::document_reader>(platform::store_client(*daemon.settings.platform.log));
@@ -120,7 +111,7 @@
         document_access{[reader](const std::stop_token& stop) { return reader->newest(stop); },
                         [reader](const std::stop_token& stop) { return reader->poll(stop); }},
         [&daemon](std::string document) {
-            daemon.state->ring().push_until(document_received{std::move(document), false},
+            daemon.state->ring().push_until(document_received{std::move(document)},
                                             deadline_after(control_timeout));
         },
         common::random_source::from_system(), daemon.events);
@@ -306,14 +297,7 @@
                             std::function<void(std::optional<std::string>)> send_reply) {
     if (path == document_path) {
         const auto document = daemon.state->document();
-        if (!document) {
-            send_reply(std::nullopt);
-            return;
-        }
-        if (daemon.compressed.version != document->version) {
-            daemon.compressed = {document->version, codec::compress_document(document->document)};
-        }
-        send_reply(daemon.compressed.bytes);
+        send_reply(document ? std::optional(document->compressed) : std::nullopt);
         return;
     }
     peer::v1::SyncRequest message;
