Report ready only with targets, and start with one store call for each daemon

Each starting daemon registered, read the registry and the newest document and polled for more, 5.9 store calls a daemon at 295 hosts. Change: ready means a configuration and the targets of another daemon, or 3 s without one. registry_schedule decides the use of the registry: one lookup each, and only the first hosts, those that search for their domain and isolated ones register. A daemon reads documents by its role once it knows the mesh, or after 2 s alone; without a configuration it reads every 2.5 s.

--- a/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
@@ -71,7 +71,8 @@
 struct membership_sinks {
     /// Sends a table synchronization request to a peer.
     std::function<void(const std::string& host, const common::endpoint& peer, membership::sync_request)> sync;
-    std::function<void(std::shared_ptr<const membership::target_directory>)> directory;
+    /// `complete` is false until another daemon has sent its whole member table.
+    std::function<void(std::shared_ptr<const membership::target_directory>, bool complete)> directory;
     std::function<void(std::shared_ptr<const mesh_view>)> mesh;
     /// A host reported the version that it has applied.
     std::function<void(const std::string& host, common::revision version)> version_observed;
@@ -117,6 +118,7 @@
     membership_sinks m_sinks;
     const telemetry::event_log& m_events;
     common::traffic_counter m_traffic;
+    bool m_published_complete = false; ///< `complete` of the last published view.
     common::bounded_ring<membership_message> m_ring;
     common::duty m_receiver;
     common::duty m_thread;
--- a/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
+++ b/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
@@ -13,6 +13,7 @@
 struct mesh_view {
     std::string own_host;
     std::string own_domain;
+    bool complete = false; ///< Another daemon has sent its whole member table.
     std::map<std::string, membership::member_ref, std::less<>> hosts;
 
     bool reachable(const membership::member& value) const {
--- a/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
@@ -4,11 +4,11 @@
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/endpoint.hpp"
 #include "boragehollow/common/random_source.hpp"
+#include "boragehollow/daemon/registry_schedule.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
 #include <tl/expected.hpp>
 
-#include <chrono>
 #include <functional>
 #include <stop_token>
 #include <string>
@@ -21,14 +21,10 @@
 struct registry_access {
     std::function<tl::expected<void, std::string>(const std::stop_token&)> register_self;
     std::function<tl::expected<std::vector<common::endpoint>, std::string>(const std::stop_token&)> list;
-    std::function<bool()> isolated; ///< True while no other live daemon is known.
-    /// True if this daemon periodically looks up other daemons on behalf of its failure domain, so that
-    /// separate groups of daemons find each other.
-    std::function<bool()> searches_for_domain;
+    std::function<mesh_observation()> observe;
 };
 
-/// Thread that registers this daemon and looks up others in the registry: at the start, at short intervals
-/// while no other daemon is known, and rarely afterwards, since gossip distributes all later changes.
+/// Thread that registers this daemon and looks up others in the registry when the schedule says so.
 class registry_duty {
 public:
     registry_duty(registry_access access, std::function<void(std::vector<common::endpoint>)> on_found,
@@ -39,14 +35,12 @@
 
 private:
     void run(const std::stop_token& stop);
-    bool register_self(const std::stop_token& stop);
-    bool look_up(const std::stop_token& stop);
-    void wait(std::chrono::milliseconds pause);
-    std::chrono::milliseconds backoff(unsigned failures);
+    void register_self(const std::stop_token& stop);
+    void look_up(const std::stop_token& stop);
 
     registry_access m_access;
     std::function<void(std::vector<common::endpoint>)> m_on_found;
-    common::random_source m_random;
+    registry_schedule m_schedule;
     const telemetry::event_log& m_events;
     common::bounded_ring<std::monostate> m_wake{1}; ///< Never filled; closing it ends a wait.
     common::duty m_thread;
--- a/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
@@ -37,17 +37,25 @@
 /// Requests a read, since the other daemons have not delivered a version that they reported.
 struct read_now {};
 
-using state_source_message = std::variant<reading_mode, read_now>;
+/// This daemon has a configuration, from whichever source.
+struct configuration_present {};
+
+using state_source_message = std::variant<reading_mode, read_now, configuration_present>;
 
 struct state_source_settings {
+    /// Time for other daemons to tell this one its reading mode. A daemon that hears of no other one by then
+    /// reads continuously.
+    std::chrono::milliseconds max_wait_for_mode{2'000};
+    /// Interval of the reads on demand while this daemon has no configuration: the daemons that read
+    /// continuously may not reach the platform.
+    std::chrono::milliseconds first_document_interval{2'500};
     /// Delay after a document, so that a burst of versions costs one read instead of one for each version.
     std::chrono::milliseconds pause_after_document{350};
     std::chrono::milliseconds min_backoff{150};
     std::chrono::milliseconds max_backoff{1'200};
 };
 
-/// Thread that reads configuration documents from the platform at a bounded rate. Until the first document
-/// was read, it reads continuously in every mode.
+/// Thread that reads configuration documents from the platform at a bounded rate.
 class state_source_duty {
 public:
     state_source_duty(state_source_settings settings, document_access access,
@@ -62,6 +70,8 @@
 private:
     void run(const std::stop_token& stop);
     bool follows() const;
+    /// Waits for a message, or until this daemon has to read without a request.
+    void await_message();
     void read(const std::stop_token& stop);
     void apply(const state_source_message& message);
     std::chrono::milliseconds handle_read_error(const std::string& detail);
@@ -74,8 +84,10 @@
     const telemetry::event_log& m_events;
     std::chrono::milliseconds m_backoff;
     bool m_reachable = true;
-    reading_mode m_mode = continuous_reading{};
-    bool m_has_read = false;
+    std::optional<reading_mode> m_mode;
+    common::steady_time m_mode_deadline;
+    common::steady_time m_next_unrequested_read;
+    bool m_has_configuration = false;
     bool m_read_requested = false;
     bool m_positioned = false; ///< `next` continues after the last document that was read.
     common::bounded_ring<state_source_message> m_ring{16};
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -173,7 +173,8 @@
                                           m_sinks.sync(sync.host, sync.peer, m_engine.begin_sync());
                                       },
                                       [&](const membership::directory_changed&) {
-                                          m_sinks.directory(m_engine.directory(now));
+                                          m_sinks.directory(m_engine.directory(now),
+                                                            m_engine.has_whole_table());
                                       },
                                       [&](const membership::member_event& event) {
                                           members_changed = true;
@@ -181,7 +182,7 @@
                                       }},
                    effect);
     }
-    if (members_changed) {
+    if (members_changed || m_published_complete != m_engine.has_whole_table()) {
         publish_mesh();
     }
 }
@@ -214,6 +215,8 @@
     auto view = std::make_shared<mesh_view>();
     view->own_host = m_engine.self().host;
     view->own_domain = m_engine.self().failure_domain;
+    view->complete = m_engine.has_whole_table();
+    m_published_complete = view->complete;
     for (const membership::member_ref& value : m_engine.members()) {
         view->hosts.emplace(value->host, value);
     }
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -15,6 +15,8 @@
                                      common::random_source random, const telemetry::event_log& events)
     : m_settings(settings), m_access(std::move(access)), m_on_document(std::move(on_document)),
       m_random(random), m_events(events), m_backoff(settings.min_backoff),
+      m_mode_deadline(common::steady_clock::now() + settings.max_wait_for_mode),
+      m_next_unrequested_read(m_mode_deadline + random.jitter(settings.first_document_interval)),
       m_thread("state_source", [this](const std::stop_token& stop) { run(stop); }) {}
 
 state_source_duty::~state_source_duty() {
@@ -34,14 +36,31 @@
             read(stop);
             continue;
         }
+        await_message();
+    }
+}
+
+void state_source_duty::await_message() {
+    if (m_mode && m_has_configuration) {
         if (const auto message = m_ring.pop()) {
             apply(*message);
         }
+        return;
+    }
+    if (const auto message = m_ring.pop_until(m_mode ? m_next_unrequested_read : m_mode_deadline)) {
+        apply(*message);
+        return;
+    }
+    const common::steady_time now = common::steady_clock::now();
+    if (m_mode && now >= m_next_unrequested_read) {
+        m_next_unrequested_read = now + m_settings.first_document_interval;
+        m_read_requested = true;
     }
 }
 
 bool state_source_duty::follows() const {
-    return !m_has_read || std::holds_alternative<continuous_reading>(m_mode);
+    return m_mode ? std::holds_alternative<continuous_reading>(*m_mode)
+                  : common::steady_clock::now() >= m_mode_deadline;
 }
 
 void state_source_duty::read(const std::stop_token& stop) {
@@ -62,7 +81,7 @@
     if (!*document) {
         return;
     }
-    m_has_read = true;
+    m_has_configuration = true;
     m_on_document(std::move(**document));
     wait(m_settings.pause_after_document);
 }
@@ -72,7 +91,8 @@
                                       m_positioned = m_positioned && follows();
                                       m_mode = mode;
                                   },
-                                  [&](const read_now&) { m_read_requested = true; }},
+                                  [&](const read_now&) { m_read_requested = true; },
+                                  [&](const configuration_present&) { m_has_configuration = true; }},
                message);
 }
 
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -34,6 +34,8 @@
 /// Replaces the target lists of services.
 struct targets_changed {
     std::vector<service_targets> services;
+    /// The targets of all services are known: another daemon has sent its whole member table.
+    bool complete = false;
 };
 
 /// The target on this host announced itself, changed or was removed.
@@ -105,6 +107,7 @@
     /// written.
     std::size_t open_calls() const { return m_open_calls + m_unwritten_responses; }
     bool has_configuration() const { return m_has_configuration; }
+    bool knows_targets() const { return m_knows_targets; }
 
     /// Stops and joins the thread.
     void stop();
@@ -142,6 +145,7 @@
     std::atomic<bool> m_wake_pending{false};
     std::atomic<bool> m_draining_connections{false};
     std::atomic<bool> m_has_configuration{false};
+    std::atomic<bool> m_knows_targets{false};
     bool m_stopped = false;
     std::atomic<std::size_t> m_open_calls{0};
     std::atomic<std::size_t> m_unwritten_responses{0}; ///< Responses to callers that are not yet written.
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -320,6 +320,7 @@
             .set(ready_targets);
         m_router.targets().update_targets(service.service, service.targets, now);
     }
+    m_knows_targets = m_knows_targets || message.complete;
 }
 
 void forwarder::handle(local_instance_changed& message) {
--- a/programs/boragehollowd/document_listeners.cpp
+++ b/programs/boragehollowd/document_listeners.cpp
@@ -2,6 +2,8 @@
 
 #include "http_listeners.hpp"
 
+#include "boragehollow/daemon/readiness.hpp"
+
 #include <utility>
 
 namespace boragehollow::daemon {
@@ -14,6 +16,12 @@
 constexpr std::size_t operator_threads = 3;
 constexpr std::chrono::milliseconds host_read_timeout{4'000};
 
+bool ready_for_calls(const document_pipeline::components& daemon) {
+    return is_ready({daemon.started, daemon.forwarder->has_configuration(), daemon.forwarder->knows_targets(),
+                     daemon.stopping},
+                    common::steady_clock::now());
+}
+
 platform::host_frontend_callbacks make_host_callbacks(document_pipeline::components& daemon) {
     platform::host_frontend_callbacks callbacks;
     callbacks.announce = [&daemon](admission::instance_announcement announcement) {
@@ -30,7 +38,7 @@
         return daemon.instance->ring().try_push(instance_message(std::move(message))) &&
                reply.wait_until(deadline_after(control_timeout)).value_or(false);
     };
-    callbacks.ready = [&daemon] { return daemon.forwarder->has_configuration() && !daemon.stopping; };
+    callbacks.ready = [&daemon] { return ready_for_calls(daemon); };
     callbacks.report_invalid = [&daemon](const std::string& detail) {
         daemon.events.emit(event_number::target_announcement_invalid, {{"detail", detail}});
     };
@@ -67,7 +75,7 @@
         daemon_status status;
         status.host = daemon.settings.identity.host;
         status.failure_domain = daemon.settings.identity.failure_domain;
-        status.ready = daemon.forwarder->has_configuration();
+        status.ready = ready_for_calls(daemon);
         status.stopping = daemon.stopping;
         if (const auto mesh = daemon.mesh.load()) {
             status.alive = mesh->count(membership::member_state::alive);
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -85,6 +85,7 @@
                                                 std::shared_ptr<const routing::route_table> routes) {
             daemon.snapshot.store(state.snapshot);
             daemon.forwarder->post(forwarding::configuration_changed{std::move(routes), state.limits});
+            daemon.state_source->ring().try_push(configuration_present{});
             daemon.membership->ring().push_until(local_version_changed{state.snapshot->version},
                                                  deadline_after(control_timeout));
             daemon.watch->ring().push_newest(config_changed{state.snapshot});
@@ -122,9 +123,19 @@
     return std::find(readers.begin(), readers.end(), mesh.own_host) != readers.end();
 }
 
+mesh_observation observe_mesh(const mesh_view* mesh) {
+    const bool isolated = mesh == nullptr || mesh->count(membership::member_state::alive) <= 1;
+    // A daemon that knows no other one would take every role of its failure domain.
+    return {isolated, !isolated && follows_platform(*mesh)};
+}
+
 /// The log readers of a failure domain read the platform's documents continuously. The other daemons fetch
 /// them from daemons that have them, since the platform charges for each read of the store.
 void update_reading_mode(document_pipeline::components& daemon, const mesh_view& mesh) {
+    if (!mesh.complete) {
+        // A daemon that knows few others would take roles that others have.
+        return;
+    }
     const bool follows = follows_platform(mesh);
     if (daemon.follows_platform == follows) {
         return;
@@ -194,9 +205,12 @@
             send_sync_request(daemon, host, peer, request);
         });
     sinks.directory = when_components_ready(
-        daemon, [&daemon](std::shared_ptr<const membership::target_directory> directory) {
+        daemon, [&daemon](std::shared_ptr<const membership::target_directory> directory, bool complete) {
             auto message = changed_targets(daemon.directory.get(), *directory);
-            if (message.services.empty() || daemon.forwarder->post(std::move(message))) {
+            message.complete = complete;
+            const bool no_change =
+                message.services.empty() && (!complete || daemon.forwarder->knows_targets());
+            if (no_change || daemon.forwarder->post(std::move(message))) {
                 daemon.directory = std::move(directory);
             }
         });
@@ -238,10 +252,7 @@
                     return std::move(listing.endpoints);
                 });
             },
-            [&daemon] {
-                const auto mesh = daemon.mesh.load();
-                return !mesh || follows_platform(*mesh);
-            }},
+            [&daemon] { return observe_mesh(daemon.mesh.load().get()); }},
         when_components_ready(daemon,
                               [&daemon](std::vector<common::endpoint> seeds) {
                                   daemon.membership->ring().push_until(seeds_found{std::move(seeds)},
--- a/programs/boragehollowd/document_pipeline_components.hpp
+++ b/programs/boragehollowd/document_pipeline_components.hpp
@@ -35,12 +35,6 @@
     bool same_domain = false;
 };
 
-/// Active document in the form that other daemons receive; compressed on the first request.
-struct compressed_document {
-    common::revision version;
-    std::string bytes;
-};
-
 /// Members are destroyed in reverse order: first the sources, then the duties, then what they share.
 struct document_pipeline::components {
     explicit components(settings::daemon_settings initial_settings);
@@ -48,6 +42,7 @@
 
     // Shared by all duties.
     settings::daemon_settings settings;
+    const common::steady_time started = common::steady_clock::now();
     std::latch components_ready{1}; ///< Sinks wait for it, since the duties start one after the other.
     std::shared_ptr<common::hybrid_clock> clock = std::make_shared<common::hybrid_clock>();
     telemetry::metric_registry metrics;
@@ -64,7 +59,6 @@
     /// Whether this daemon reads the platform continuously; empty before the first view of the mesh. Accessed
     /// only by the membership thread.
     std::optional<bool> follows_platform;
-    compressed_document compressed; ///< Accessed only by the forwarder's thread.
 
     // Duties.
     std::unique_ptr<watch_duty> watch;
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -158,7 +158,7 @@
             daemon.peer_sender->ring().push_newest(send_sync{host, peer, std::move(request)});
         });
     sinks.directory = when_components_ready(
-        daemon, [&daemon](std::shared_ptr<const membership::target_directory> directory) {
+        daemon, [&daemon](std::shared_ptr<const membership::target_directory> directory, bool) {
             daemon.dispatch->ring().push_until(targets_changed{std::move(directory)},
                                                deadline_after(control_timeout));
         });
