Synchronize soon after a starting daemon finds its first member

Cause: an attempt to synchronize before any member was known counted as one, and the next followed after 0.5 to 1.5 s. A daemon that found the mesh in between knew no targets for up to a second more, after each start and after a loss of power on all hosts. Change: without a known member the next attempt follows after 100 ms. Conclusion: service returns sooner after a restart.

--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::seconds min_sync_interval{1};
 constexpr std::chrono::minutes expiry_interval{1};
 constexpr std::chrono::seconds startup_sync_interval{1};
+// A daemon that knows no member yet synchronizes soon after it hears of one: until then it can serve no call.
+constexpr std::chrono::milliseconds no_member_sync_interval{100};
 // A tick that is delayed for longer than this is due to a pause of this process, not to a busy ring.
 constexpr std::chrono::milliseconds pause_threshold{1000};
 
@@ -312,6 +314,7 @@
     const std::vector<std::string> chosen =
         (other_domain ? m_other_domain_members : m_own_domain_members).pick(2, {}, m_random);
     if (chosen.empty()) {
+        m_next_sync = now + no_member_sync_interval;
         return;
     }
     member_ref peer = m_table.find(chosen.front());
--- a/packages/membership/tests/membership_engine_test.cpp
+++ b/packages/membership/tests/membership_engine_test.cpp
@@ -58,6 +58,21 @@
     EXPECT_EQ(net.events_of(member_event_kind::suspected), 0U);
 }
 
+// Guards against a daemon that finds the mesh and then waits a second for the targets, during which it serves
+// no call: its first attempt to synchronize came before it had found anyone.
+TEST(membership_engine, a_daemon_that_finds_the_mesh_late_gets_the_targets_at_once) {
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SCOPED_TRACE(seed);
+        simulated_network net(seed);
+        net.start_domain("a", 20);
+        expect_joined(net, 20);
+        simulated_network::node& late = net.start("late", "a");
+        net.run_for(1'200ms);
+        net.perform(late, late.engine->add_seeds({net.at("a-3").address, net.at("a-7").address}, net.now()));
+        EXPECT_LT(net.run_until([&] { return late.engine->has_whole_table(); }, 5s), 300ms);
+    }
+}
+
 // Guards against daemons of several domains that start together with the same list of seeds but form separate
 // meshes for half a minute.
 TEST(membership_engine, daemons_that_start_together_form_one_mesh) {
