Let responses use nine tenths of a link, and refuse them sooner

Cause: responses shared the limits of request bodies: three quarters of a link and up to 600 ms of waiting. All responses of a target's host are scheduled, so that little has to stay free, and after a wait of 600 ms and 180 ms of work a download misses its target latency of 800 ms. Change: a schedule has its limits; responses use nine tenths and wait 300 ms.

--- a/packages/admission/include/boragehollow/admission/transfer_schedule.hpp
+++ b/packages/admission/include/boragehollow/admission/transfer_schedule.hpp
@@ -19,12 +19,27 @@
     bool operator==(const transfer_window&) const = default;
 };
 
+/// How much of a link large bodies may use in one direction.
+struct transfer_limits {
+    double share = 0.75; ///< The rest is for small messages.
+    /// A body that would wait longer is refused: another target may have capacity.
+    std::chrono::milliseconds max_wait{600};
+};
+
+/// Request bodies. Those of this host's own callers arrive without a reservation, so a quarter of the link
+/// stays free for them.
+inline constexpr transfer_limits incoming_limits{0.75, std::chrono::milliseconds(600)};
+
+/// Response bodies. All of them are scheduled. The call has to run before its response is sent, so less of
+/// the caller's time is left for a wait than before a request.
+inline constexpr transfer_limits outgoing_limits{0.9, std::chrono::milliseconds(300)};
+
 /// Schedules the large bodies that cross this host's link in one direction. Concurrent bodies would fill the
 /// link for seconds and delay small calls, log reads and gossip.
 class transfer_schedule {
 public:
     /// `megabits` is the bandwidth of the host's link in Mbit/s.
-    explicit transfer_schedule(double megabits);
+    explicit transfer_schedule(double megabits, transfer_limits limits = incoming_limits);
 
     /// Reserves a transfer. If the link is reserved for too long, the error is the time until it is free.
     tl::expected<transfer_window, std::chrono::milliseconds> reserve(std::size_t bytes,
@@ -52,6 +67,7 @@
     static constexpr std::chrono::seconds utilization_window{1};
     static constexpr std::size_t slice_count = 5;
 
+    transfer_limits m_limits;
     double m_bytes_per_second;
     common::sliding_window<reserved_time, slice_count> m_recent{utilization_window};
     common::steady_time m_reserved_until{};
--- a/packages/admission/src/transfer_schedule.cpp
+++ b/packages/admission/src/transfer_schedule.cpp
@@ -10,18 +10,10 @@
 
 constexpr double bytes_per_megabit = 1'000'000.0 / 8.0;
 
-/// Share of the link for reserved transfers. The rest is for small messages and for bodies of this host's own
-/// callers, which need no reservation.
-constexpr double reserved_share = 0.75;
-
-/// A body that would wait longer is refused: callers expect a response within about a second, and another
-/// target may have capacity.
-constexpr milliseconds max_wait{600};
-
 } // namespace
 
-transfer_schedule::transfer_schedule(double megabits)
-    : m_bytes_per_second(megabits * bytes_per_megabit * reserved_share) {}
+transfer_schedule::transfer_schedule(double megabits, transfer_limits limits)
+    : m_limits(limits), m_bytes_per_second(megabits * bytes_per_megabit * limits.share) {}
 
 tl::expected<transfer_window, milliseconds> transfer_schedule::reserve(std::size_t bytes,
                                                                        common::steady_time now) {
@@ -42,13 +34,13 @@
 
 std::optional<milliseconds> transfer_schedule::excessive_wait(common::steady_time now) const {
     const auto wait = std::chrono::ceil<milliseconds>(std::max(now, m_reserved_until) - now);
-    return wait > max_wait ? std::optional(wait) : std::nullopt;
+    return wait > m_limits.max_wait ? std::optional(wait) : std::nullopt;
 }
 
 double transfer_schedule::utilization(common::steady_time now) {
     const double recent = m_recent.total(now).value / utilization_window;
     const std::chrono::duration<double> backlog = std::max(now, m_reserved_until) - now;
-    return std::min(1.0, std::max(recent, backlog / max_wait));
+    return std::min(1.0, std::max(recent, backlog / m_limits.max_wait));
 }
 
 } // namespace boragehollow::admission
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -59,7 +59,7 @@
                            const telemetry::event_log& events, std::function<void()> on_unreachable)
     : m_context(context), m_host(std::move(host)), m_names(std::move(names)), m_log(events),
       m_on_unreachable(std::move(on_unreachable)), m_admission(settings), m_incoming(link_megabits),
-      m_outgoing(link_megabits), m_pool(context), m_tick(context) {}
+      m_outgoing(link_megabits, admission::outgoing_limits), m_pool(context), m_tick(context) {}
 
 void local_target::set_instance(std::optional<target_instance> instance) {
     if (m_instance && (!instance || instance->id != m_instance->id)) {
