Send calls around targets that shed, and let a target serve longer beside a stopping daemon

Change: shedding_monitor beside the target refuses most calls while its target sheds, so that they go on to other targets without being arrivals; a call that was refused for this is admitted by the next. Replies state whether their target sheds, and where most do, calls are not sent around. A stopping daemon keeps its target in service for 1.2 s before it announces the departure.

--- a/packages/admission/include/boragehollow/admission/admission_controller.hpp
+++ b/packages/admission/include/boragehollow/admission/admission_controller.hpp
@@ -5,6 +5,7 @@
 #include "boragehollow/admission/duplicate_table.hpp"
 #include "boragehollow/admission/messages.hpp"
 #include "boragehollow/admission/repeat_limit.hpp"
+#include "boragehollow/admission/shedding_monitor.hpp"
 
 #include <array>
 #include <cstddef>
@@ -37,7 +38,7 @@
     std::size_t keys = 0;
     std::uint64_t granted = 0;
     std::uint64_t reclassified = 0;
-    std::array<std::uint64_t, 13> refused{}; ///< Indexed by `refusal_reason`.
+    std::array<std::uint64_t, 14> refused{}; ///< Indexed by `refusal_reason`.
 };
 
 /// Decides which calls the local target runs and when. Owned by a single thread; reads no clock and starts no
@@ -79,6 +80,9 @@
     /// now was made by repeated work.
     double repeated_share() const;
 
+    /// True when the target sheds a considerable part of its calls.
+    bool target_sheds() const { return m_shedding.sheds(); }
+
     /// True when no granted call is running, so that a stopping daemon may exit.
     bool idle() const { return m_running.empty(); }
 
@@ -129,6 +133,7 @@
     call_queue m_short_queue;
     call_queue m_long_queue;
     repeat_limit m_repeats;
+    shedding_monitor m_shedding;
     duplicate_table m_call_ids;
     duplicate_table m_keys;
     std::unordered_map<std::uint64_t, running_call> m_running;
--- a/packages/admission/include/boragehollow/admission/messages.hpp
+++ b/packages/admission/include/boragehollow/admission/messages.hpp
@@ -38,6 +38,7 @@
     std::optional<steady_time> soft_deadline{}; ///< End of the route's target latency.
     bool accepts_late = true;                   ///< Queue the call even if it will miss `soft_deadline`.
     bool retry = false;                         ///< A target has received this call before.
+    bool accepts_shedding = true;               ///< The call may run at a target that sheds calls.
     /// Probability that a repeated call made this call.
     double inherited_repeats = 0;
 };
@@ -73,7 +74,8 @@
     duplicate_key,  ///< The idempotency key is queued, running or within its retention time.
     call_table_full,
     key_table_full,
-    retry_limit, ///< The target takes no further retry for now.
+    retry_limit,  ///< The target takes no further retry for now.
+    target_sheds, ///< The target sheds calls; another one may not.
 };
 
 /// True when an earlier submission of the call may have run. All other reasons mean "not run".
--- a/packages/admission/src/admission_controller.cpp
+++ b/packages/admission/src/admission_controller.cpp
@@ -60,6 +60,10 @@
     if (refuse_excess_retry(request, now, out)) {
         return out;
     }
+    if (!request.accepts_shedding && m_shedding.diverts_next_call()) {
+        refuse(request, refusal_reason::target_sheds, milliseconds(0), out);
+        return out;
+    }
     if (queue_of(request.work).empty() && may_run(request.work)) {
         start_call(std::move(request), now, out);
         return out;
@@ -279,11 +283,13 @@
                                             call_result result, std::uint32_t in_use, steady_time now) {
     if (result == call_result::shed) {
         m_limit.observe_shed();
+        m_shedding.record(true);
         return;
     }
     if (result != call_result::answered) {
         return;
     }
+    m_shedding.record(false);
     update_mean(call.counts_as_long ? m_long_mean : m_short_mean, latency);
     if (!call.counts_as_long) {
         m_limit.observe(latency, in_use, now);
@@ -309,6 +315,7 @@
     const bool other_service = !target || !m_target || target->service != m_target->service;
     m_target = std::move(target);
     if (other_service) {
+        m_shedding.reset();
         m_limit = adaptive_limit();
         m_short_mean = {};
         m_long_mean = {};
--- a/packages/admission/src/messages.cpp
+++ b/packages/admission/src/messages.cpp
@@ -34,6 +34,8 @@
         return "key_table_full";
     case refusal_reason::retry_limit:
         return "retry_limit";
+    case refusal_reason::target_sheds:
+        return "target_sheds";
     }
     return "unknown";
 }
--- a/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "boragehollow/admission/shedding_outlook.hpp"
 #include "boragehollow/balancing/balancer.hpp"
 #include "boragehollow/balancing/caller_wait_estimator.hpp"
 #include "boragehollow/balancing/retry_controller.hpp"
@@ -8,6 +9,7 @@
 #include "boragehollow/telemetry/metrics.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -73,6 +75,7 @@
     newer_config_sink m_newer_config;
     std::shared_ptr<const routing::route_table> m_routes;
     balancing::caller_wait_estimator m_wait_estimator;
+    std::map<std::string, admission::shedding_outlook> m_shedding; ///< By service.
     balancing::balancer m_balancer;
     connection_pool m_pool;
     telemetry::counter& m_answered;
--- a/packages/forwarding/include/boragehollow/forwarding/mesh_headers.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/mesh_headers.hpp
@@ -28,7 +28,8 @@
     std::optional<std::chrono::microseconds> soft_deadline_left;
     bool accepts_late = true; ///< The call waits even if its response will miss the soft deadline.
     common::revision config_version;
-    bool retry = false; ///< A target has received this call before.
+    bool retry = false;           ///< A target has received this call before.
+    bool accepts_shedding = true; ///< The call may run at a target that sheds calls.
     /// Probability that a repeated call of the caller's own target made this call, in thousandths.
     std::uint32_t inherited_repeats_permille = 0;
     /// Set in a reservation request, which carries no body: the size of the body that the caller's daemon
@@ -53,6 +54,7 @@
     std::optional<balancing::piggybacked_load> load;
     common::revision config_version;
     std::chrono::microseconds service_time{0};
+    bool target_sheds = false;         ///< The target sheds a considerable part of its calls.
     admission::transfer_window window; ///< Only with `forwarding_outcome::reserved`.
 };
 
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -36,6 +36,7 @@
 /// Retry-After when no target is known: the announcement of a new target arrives within about a second.
 constexpr milliseconds no_target_retry_after{400};
 
+const std::string_view target_sheds_reason = admission::to_string(admission::refusal_reason::target_sheds);
 const std::string_view retry_limit_reason = admission::to_string(admission::refusal_reason::retry_limit);
 
 /// Fraction of Retry-After that is added at random, so that callers do not retry at the same time.
@@ -66,6 +67,9 @@
     std::string attempt_trace; ///< Host and outcome of each attempt, for the log.
     std::uint32_t attempts = 0;
     bool received_by_target = false; ///< An attempt may have reached a target, whether it ran there or not.
+    /// The call may run at a target that sheds calls: another daemon has refused it for this reason, or most
+    /// targets of the service shed calls.
+    bool accepts_shedding = false;
     double inherited_repeats = 0;
 };
 
@@ -104,6 +108,7 @@
     for (const std::string& name : m_balancer.services()) {
         if (m_routes->find_service(name) == nullptr) {
             m_balancer.remove_policy(name);
+            m_shedding.erase(name);
         }
     }
     for (const auto& [key, stored] : m_routes->snapshot()->resources) {
@@ -174,6 +179,7 @@
         current.soft_deadline = current.received + route.target_latency - waited;
     }
     current.service = routing::choose_backend(route, m_random);
+    current.accepts_shedding = m_shedding[current.service].shedding_is_common();
     return std::nullopt;
 }
 
@@ -235,6 +241,7 @@
         }
         const balancing::retry_decision decision = retries.decide(result.end, common::steady_clock::now());
         current.received_by_target = retries.sent_to_targets() > 0;
+        current.accepts_shedding = current.accepts_shedding || result.detail == target_sheds_reason;
         const auto* next_attempt = std::get_if<balancing::start_attempt>(&decision);
         if (next_attempt == nullptr) {
             co_return finish_call(current, decision, std::move(last_response));
@@ -275,6 +282,7 @@
     }
     metadata.config_version = m_routes->snapshot()->version;
     metadata.retry = current.received_by_target;
+    metadata.accepts_shedding = current.accepts_shedding;
     metadata.inherited_repeats_permille = static_cast<std::uint32_t>(current.inherited_repeats * 1'000);
     request_message request = current.request;
     if (target.host == m_settings.host) {
@@ -395,6 +403,7 @@
     if (target_metadata->config_version > m_routes->snapshot()->version) {
         m_newer_config(target.peer, target_metadata->config_version);
     }
+    m_shedding[current.service].record(target_metadata->target_sheds);
     result.load = target_metadata->load;
     result.detail = target_metadata->reason;
     switch (target_metadata->outcome) {
@@ -419,7 +428,6 @@
         result.end = balancing::response_lost{};
         break;
     }
-    (void)current;
     return result;
 }
 
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -198,6 +198,7 @@
     metadata.load = balancing::piggybacked_load{status.queued_short + status.queued_long,
                                                 std::max(running, slots_of_link), status.slots};
     metadata.config_version = m_config_version;
+    metadata.target_sheds = m_admission.target_sheds();
     response_message result =
         response ? std::move(*response) : response_message{http::status::service_unavailable, 11};
     remove_hop_by_hop_headers(result);
@@ -317,6 +318,7 @@
     }
     submission.accepts_late = call.accepts_late;
     submission.retry = call.retry;
+    submission.accepts_shedding = call.accepts_shedding;
     submission.inherited_repeats = call.inherited_repeats_permille / 1'000.0;
     const admission::admission_id id = submission.id;
     const admission::effect decision = co_await admit(std::move(submission), cancelled);
--- a/packages/forwarding/src/mesh_headers.cpp
+++ b/packages/forwarding/src/mesh_headers.cpp
@@ -24,6 +24,8 @@
 constexpr std::string_view soft_deadline_left_header = "bh-aim-left-us";
 constexpr std::string_view accepts_late_header = "bh-accepts-late";
 constexpr std::string_view retry_header = "bh-retry";
+constexpr std::string_view accepts_shedding_header = "bh-accepts-shedding";
+constexpr std::string_view target_sheds_header = "bh-target-sheds";
 constexpr std::string_view inherited_repeats_header = "bh-inherited-repeats";
 constexpr std::string_view transfer_bytes_header = "bh-transfer-bytes";
 constexpr std::string_view begin_after_header = "bh-begin-after-ms";
@@ -116,6 +118,9 @@
     if (call.retry) {
         set_number(request, retry_header, 1);
     }
+    if (!call.accepts_shedding) {
+        set_number(request, accepts_shedding_header, 0);
+    }
     if (call.inherited_repeats_permille > 0) {
         set_number(request, inherited_repeats_header, call.inherited_repeats_permille);
     }
@@ -148,6 +153,7 @@
     call.accepts_late = read_number(request, accepts_late_header).value_or(1) == 1;
     call.config_version = {*version};
     call.retry = read_number(request, retry_header).value_or(0) == 1;
+    call.accepts_shedding = read_number(request, accepts_shedding_header).value_or(1) == 1;
     call.inherited_repeats_permille = static_cast<std::uint32_t>(
         std::min<std::uint64_t>(1'000, read_number(request, inherited_repeats_header).value_or(0)));
     call.transfer_bytes = read_number(request, transfer_bytes_header);
@@ -174,6 +180,9 @@
     }
     set_number(response, service_time_header, static_cast<std::uint64_t>(metadata.service_time.count()));
     set_number(response, version_header, metadata.config_version.value);
+    if (metadata.target_sheds) {
+        set_number(response, target_sheds_header, 1);
+    }
     if (metadata.outcome == forwarding_outcome::reserved) {
         set_number(response, begin_after_header,
                    static_cast<std::uint64_t>(metadata.window.begin_after.count()));
@@ -200,6 +209,7 @@
     }
     metadata.service_time = microseconds(read_number(response, service_time_header).value_or(0));
     metadata.config_version = {read_number(response, version_header).value_or(0)};
+    metadata.target_sheds = read_number(response, target_sheds_header).value_or(0) == 1;
     metadata.window = {milliseconds(read_number(response, begin_after_header).value_or(0)),
                        milliseconds(read_number(response, duration_header).value_or(0))};
     remove_mesh_headers(response);
--- a/packages/forwarding/tests/mesh_headers_test.cpp
+++ b/packages/forwarding/tests/mesh_headers_test.cpp
@@ -10,9 +10,22 @@
 // Guards against call metadata that is lost between two daemons, and against mesh headers that are forwarded
 // to the target.
 TEST(mesh_headers, call_metadata_round_trips_and_is_removed) {
-    call_metadata call{"desk", "h1", "drawings", "id-1", config::work_class::long_work,
-                       true,   3,    1500us,     700us,  false,
-                       {7},    true, 125,        60'000};
+    call_metadata call;
+    call.service = "desk";
+    call.caller_host = "h1";
+    call.caller_service = "drawings";
+    call.request_id = "id-1";
+    call.work = config::work_class::long_work;
+    call.idempotent = true;
+    call.priority = 3;
+    call.time_left = 1500us;
+    call.soft_deadline_left = 700us;
+    call.accepts_late = false;
+    call.config_version = {7};
+    call.retry = true;
+    call.accepts_shedding = false;
+    call.inherited_repeats_permille = 125;
+    call.transfer_bytes = 60'000;
     request_message request{http::verb::get, "/x", 11};
     request.set("X-Other", "kept");
     write_call_metadata(call, request);
@@ -30,6 +43,7 @@
     EXPECT_FALSE(read->accepts_late);
     EXPECT_EQ(read->config_version.value, 7U);
     EXPECT_TRUE(read->retry);
+    EXPECT_FALSE(read->accepts_shedding);
     EXPECT_EQ(read->inherited_repeats_permille, 125U);
     EXPECT_EQ(read->transfer_bytes, 60'000U);
     EXPECT_EQ(std::distance(request.begin(), request.end()), 1);
@@ -61,6 +75,7 @@
     metadata.retry_after = 40ms;
     metadata.load = balancing::piggybacked_load{1, 2, 3};
     metadata.config_version = {9};
+    metadata.target_sheds = true;
     response_message response{http::status::service_unavailable, 11};
     write_response_metadata(metadata, response);
     const auto read = extract_response_metadata(response);
@@ -73,6 +88,7 @@
     EXPECT_EQ(read->load->in_use, 2U);
     EXPECT_EQ(read->load->slots, 3U);
     EXPECT_EQ(read->config_version.value, 9U);
+    EXPECT_TRUE(read->target_sheds);
     response_message plain{http::status::ok, 11};
     EXPECT_FALSE(extract_response_metadata(plain).has_value());
 }
--- a/packages/membership/tests/member_table_test.cpp
+++ b/packages/membership/tests/member_table_test.cpp
@@ -168,6 +168,7 @@
 // reader and its domain gets each version seconds late.
 TEST(roles, log_readers_are_members_with_fast_links) {
     std::vector<reader_candidate> members;
+    members.reserve(20);
     for (int i = 0; i < 20; ++i) {
         members.push_back({"h" + std::to_string(i), i % 7 == 0 ? 140U : 7U});
     }
--- a/packages/web/tests/query_test.cpp
+++ b/packages/web/tests/query_test.cpp
@@ -22,7 +22,7 @@
 
 // Guards against a value with reserved characters that changes the query it is part of.
 TEST(query, encoded_text_decodes_to_itself) {
-    const std::string text = "a&b=c%20 \xff\0z" + std::string(1, '\0');
+    const std::string text = "a&b=c%20 \xffz" + std::string(1, '\0');
     EXPECT_EQ(percent_encode("a&b"), "a%26b");
     EXPECT_EQ(percent_decode(percent_encode(text)), text);
 }
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -293,7 +293,7 @@
                 }
                 daemon.forwarder->post(forwarding::local_instance_changed{std::move(local)});
                 membership::target_announcement announced = announcement_of(instance);
-                if (daemon.stopping) {
+                if (daemon.leaving) {
                     announced.state = membership::target_state::draining;
                 }
                 daemon.membership->ring().push_until(local_announcement_changed{std::move(announced)},
--- a/programs/boragehollowd/document_pipeline_components.hpp
+++ b/programs/boragehollowd/document_pipeline_components.hpp
@@ -50,6 +50,7 @@
     telemetry::event_log events;
     std::shared_ptr<peer::link_filter> links = std::make_shared<peer::link_filter>();
     std::atomic<bool> stopping{false};
+    std::atomic<bool> leaving{false}; ///< The local target takes no new calls, since this daemon stops.
     common::shared_snapshot<config::config_snapshot> snapshot;
     common::shared_snapshot<mesh_view> mesh;
     std::shared_ptr<const membership::target_directory>
--- a/programs/boragehollowd/document_shutdown.cpp
+++ b/programs/boragehollowd/document_shutdown.cpp
@@ -10,6 +10,10 @@
 /// Callers that still do need the rest of the drain time for their calls.
 constexpr std::chrono::milliseconds readiness_propagation_time{2'900};
 
+/// Time for which the local target still takes calls: it does not stop, and without its slots the other
+/// targets of its service get more calls. The calls that it has taken by then end before the drain limit.
+constexpr std::chrono::milliseconds target_service_time{1'200};
+
 /// Time after which other daemons have learned by gossip that this one leaves.
 constexpr std::chrono::milliseconds leave_propagation_time{700};
 
@@ -25,15 +29,17 @@
     daemon.events.emit(event_number::daemon_stop_requested, {{"running", daemon.forwarder->open_calls()}});
     daemon.stopping = true;
     daemon.forwarder->start_connection_drain();
+    daemon.operators->stop();
+    common::bounded_ring<std::monostate> pause(
+        1); // Never filled; its `pop_until` waits on a condition variable.
+    pause.pop_until(started + target_service_time);
+    daemon.leaving = true;
     membership::target_announcement leaving;
     leaving.service = daemon.settings.target.service.value_or("");
     leaving.state = membership::target_state::draining;
     daemon.membership->ring().push_until(local_announcement_changed{std::move(leaving)},
                                          deadline_after(control_timeout));
-    daemon.operators->stop();
-    common::bounded_ring<std::monostate> pause(
-        1); // Never filled; its `pop_until` waits on a condition variable.
-    pause.pop_until(started + leave_propagation_time);
+    pause.pop_until(started + target_service_time + leave_propagation_time);
     daemon.forwarder->post(forwarding::drain_local_target{});
     pause.pop_until(started + readiness_propagation_time);
     daemon.forwarder->post(forwarding::stop_accepting{});
