--- a/packages/admission/src/shedding_monitor.cpp
+++ b/packages/admission/src/shedding_monitor.cpp
@@ -11,7 +11,7 @@
 constexpr double min_diverting_share = 0.15;
 
 /// One call in this many is admitted as a trial.
-constexpr std::uint32_t trial_interval = 6;
+constexpr std::uint32_t calls_per_trial = 6;
 
 } // namespace
 
@@ -27,7 +27,7 @@
     if (!sheds()) {
         return false;
     }
-    m_diverted = (m_diverted + 1) % trial_interval;
+    m_diverted = (m_diverted + 1) % calls_per_trial;
     return m_diverted != 0;
 }
 
