Check the stated length of the platform's responses before reading them

Cause: the client of the platform's store had the same fault as the forwarder: a response that states 100 GB ends the process by std::bad_alloc. Change: the length is checked behind the header, and the receive buffer is bounded. Result: a_response_with_a_false_length_is_an_error failed with bad_alloc before and passes now.

--- a/packages/web/src/http_request.cpp
+++ b/packages/web/src/http_request.cpp
@@ -26,6 +26,9 @@
 /// Far above any response of a control service.
 constexpr std::uint64_t max_response_bytes = 64ULL * 1024 * 1024;
 
+/// Bytes that are received but not yet parsed. The parser alone does not limit a chunk extension.
+constexpr std::size_t max_unparsed_bytes = 256 * 1024;
+
 /// Covers one retransmission of a lost SYN packet, which the kernel sends after 1 s.
 constexpr std::chrono::milliseconds connect_timeout{1'500};
 
@@ -48,6 +51,16 @@
     }
 
     error_code receive(response_parser& parser) {
+        http::async_read_header(m_stream, m_buffer, parser,
+                                [this](error_code result, std::size_t) { m_result = result; });
+        const error_code failed = run();
+        if (failed) {
+            return failed;
+        }
+        // Beast reserves memory for the stated length before it compares it with the parser's limit.
+        if (parser.content_length().value_or(0) > max_response_bytes) {
+            return make_error_code(http::error::body_limit);
+        }
         http::async_read(m_stream, m_buffer, parser,
                          [this](error_code result, std::size_t) { m_result = result; });
         return run();
@@ -63,7 +76,7 @@
     common::steady_time m_deadline;
     asio::io_context m_context{1};
     beast::tcp_stream m_stream;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{max_unparsed_bytes};
     error_code m_result;
     std::stop_callback<std::function<void()>> m_on_stop;
 };
--- a/packages/web/tests/http_exchange_test.cpp
+++ b/packages/web/tests/http_exchange_test.cpp
@@ -1,4 +1,5 @@
 #include "boragehollow/web/http_client.hpp"
+#include "boragehollow/web/http_request.hpp"
 #include "boragehollow/web/http_server.hpp"
 
 #include <gtest/gtest.h>
@@ -38,6 +39,18 @@
     return std::move(*server);
 }
 
+// Guards against a response that states a body of 100 GB: reserving memory for it ends the process.
+TEST(http_exchange, a_response_with_a_false_length_is_an_error) {
+    const auto server = start_server([](server_exchange& exchange) {
+        exchange.begin_response(200, {}, 99'999'999'999);
+        exchange.write("start");
+        exchange.abort();
+    });
+    const auto response =
+        perform_request(server->local_endpoint(), {"GET", "/", {}, {}}, 2s, std::stop_token());
+    EXPECT_FALSE(response.has_value());
+}
+
 // Guards against framing (chunked or by length) that corrupts a body or leaves the connection unusable.
 TEST(http_exchange, echoes_bodies_with_length_and_chunked_on_one_connection) {
     const auto server = start_server(echo);
