--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,6 @@
 import mesh as m  # noqa: E402
 
 UPSTREAMS, FAULTY = 3, 1
-ENDLESS_SHARE = 0.4  # of the answers of the faulty ones
 SLOTS = 12
 TROUBLE_S = 6.0
 TIMEOUT_MS, DEADLINE_MS = 2500, 5000  # of `place-order`
@@ -28,7 +27,7 @@
     async def start(self, port=0):
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, str(FOLDER.parent / "standins" / "flood_upstream.py"), self.id,
-            str(ENDLESS_SHARE), stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
+            stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE)
         self.port = int(await self.process.stdout.readline())
 
     async def follow(self):
--- a/review/standins/flood_upstream.py
+++ b/review/standins/flood_upstream.py
@@ -1,13 +1,12 @@
 """An upstream as a process of its own, whose answers may have a body without end.
 
-usage: flood_upstream.py ID SHARE
+usage: flood_upstream.py ID
 
 Prints its port, and then a line for each run and each end of an endless answer. After the line `on` on the
-standard input, SHARE of its answers are endless until the caller closes the connection; `off` ends this for
-later answers. It runs apart from the script, so that the clients are not slowed by the bytes that it sends.
+standard input, two of five answers are endless until the caller closes the connection; `off` ends this for later
+answers. It runs apart from the script, so that the clients are not slowed by the bytes that it sends.
 """
 
-import random
 import socket
 import sys
 import threading
@@ -17,13 +16,15 @@
 BLOCK = CHUNK * 13
 BODY = b"done"
 
+# Positions among five answers, so that the share never exceeds 0.4.
+ENDLESS_POSITIONS = (2, 4)
+
 
 class Upstream:
-    def __init__(self, identity, share):
+    def __init__(self, identity):
         self.identity = identity
-        self.share = share
         self.faulty = False
-        self.random = random.Random(1)
+        self.answers = 0  # while it is faulty
         self.lock = threading.Lock()
 
     def say(self, text):
@@ -34,6 +35,13 @@
         for line in sys.stdin:
             self.faulty = line.strip() == "on"
 
+    def next_is_endless(self):
+        if not self.faulty:
+            return False
+        with self.lock:
+            self.answers += 1
+            return (self.answers - 1) % 5 in ENDLESS_POSITIONS
+
     def serve(self, connection):
         try:
             file = connection.makefile("rb")
@@ -55,7 +63,7 @@
         threading.Event().wait(0.05)
         head = (f"HTTP/1.1 200 OK\r\nBoragehollow-Request-Id: {request_id}\r\n"
                 f"Boragehollow-Response-Signature: sig-{self.identity}-{request_id}\r\n").encode()
-        if not self.faulty or self.random.random() >= self.share:
+        if not self.next_is_endless():
             connection.sendall(head + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY)
             return
         self.say(f"endless {request_id}")
@@ -79,7 +87,7 @@
 
 
 def main():
-    upstream = Upstream(sys.argv[1], float(sys.argv[2]))
+    upstream = Upstream(sys.argv[1])
     listener = socket.create_server(("127.0.0.1", 0))
     upstream.say(str(listener.getsockname()[1]))
     threading.Thread(target=upstream.obey, daemon=True).start()
