Give up responses without an end at the deadline

Cause: Beast's async_read_some goes on for as long as the received bytes end within a chunk header, so that it never returned to the code that looks at limits; the stream's timer ends only a read that waits. The bytes of bodies were limited by content, not by the memory that they take.

Change: the pool reads from the socket and parses in a loop of its own, which compares the time and limits bytes beside the content. All bodies that are being received share 24 MB, counted by capacity, and a response of at least the mean size is cut off.

Test: failing_peers.responses_without_end_are_cut_off with two more kinds, and ..._take_bounded_memory_and_spare_other_calls.

--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -77,9 +77,14 @@
     connection_ptr take_idle(const common::endpoint& remote, std::chrono::milliseconds max_idle_time);
     asio::awaitable<tl::expected<connection_ptr, exchange_error>>
     open(common::endpoint remote, const exchange_options& options, cancellation_ptr cancelled);
-    asio::awaitable<error_code> receive(connection& conn, http::response_parser<http::string_body>& parser,
-                                        std::size_t max_body_bytes);
+    asio::awaitable<error_code> receive(connection& conn, response_parser& parser,
+                                        const exchange_options& options);
+    asio::awaitable<error_code> parse_until(connection& conn, response_parser& parser,
+                                            const exchange_options& options,
+                                            const std::function<bool()>& done);
+    asio::awaitable<error_code> receive_some(connection& conn, common::steady_time deadline);
     asio::awaitable<tl::expected<response_message, exchange_error>>
+    using response_parser = http::response_parser<http::string_body>;
     read_response(connection_ptr conn, bool head_request, const exchange_options& options);
     asio::awaitable<void> write_large_request(connection_ptr conn, std::chrono::milliseconds duration);
     void return_to_pool(const common::endpoint& remote, connection_ptr conn,
@@ -88,7 +93,8 @@
     asio::io_context& m_context;
     std::map<common::endpoint, std::vector<connection_ptr>> m_idle;
     pool_counters m_counters;
-    std::size_t m_receiving_bytes = 0; ///< Received bodies of responses that are not complete yet.
+    std::size_t m_receiving_bytes = 0; ///< Memory of the bodies of responses that are not complete yet.
+    std::size_t m_receiving_responses = 0;
 };
 
 /// Enables TCP keepalive and a limit on unacknowledged data. Without them, a connection to a host that lost
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -38,9 +38,17 @@
 /// peer could send one without end.
 constexpr std::size_t max_unparsed_bytes = 256 * 1024;
 
-/// Bodies of all responses that are being received by one pool. A target host may have 110 MB of memory and
-/// 12 calls at once, each with a body up to the limit of a single response.
-constexpr std::size_t max_receiving_bytes = 32ULL * 1024 * 1024;
+constexpr std::size_t max_read_bytes = 64 * 1024;
+
+/// Bytes of a body's chunk headers, extensions and trailers. A peer may send these without end and without
+/// adding to the body. A chunk of one byte has a header of five.
+constexpr std::size_t max_framing_bytes = 256 * 1024;
+constexpr std::size_t max_framing_bytes_per_body_byte = 8;
+
+/// Memory of the bodies that are being received by one pool. A target host may have 110 MB of memory and 12
+/// calls at once, each with a body up to the limit of a single response. Growing a body's buffer takes up to
+/// half as much again for a moment.
+constexpr std::size_t max_receiving_bytes = 24ULL * 1024 * 1024;
 
 /// A connection is closed when sent data stays unacknowledged for this time, which allows several
 /// retransmissions.
@@ -150,43 +158,98 @@
     co_return conn;
 }
 
-asio::awaitable<error_code> connection_pool::receive(connection& conn,
-                                                     http::response_parser<http::string_body>& parser,
-                                                     std::size_t max_body_bytes) {
-    std::size_t counted = 0;
-    const common::scope_guard release([this, &counted] { m_receiving_bytes -= counted; });
+/// Receives the next bytes. The stream's timer only ends a read that waits for data; data that is always
+/// available never lets it expire, so the deadline is compared as well.
+asio::awaitable<error_code> connection_pool::receive_some(connection& conn, common::steady_time deadline) {
+    if (common::steady_clock::now() >= deadline) {
+        co_return make_error_code(beast::error::timeout);
+    }
+    const std::size_t room = conn.buffer.max_size() - conn.buffer.size();
+    if (room == 0) {
+        co_return make_error_code(http::error::buffer_overflow);
+    }
     error_code error;
-    co_await http::async_read_header(conn.stream, conn.buffer, parser, redirect_error_to(error));
-    if (!error && exceeds_body_limit(parser, max_body_bytes)) {
+    const std::size_t count = co_await conn.stream.async_read_some(
+        conn.buffer.prepare(std::min(room, max_read_bytes)), redirect_error_to(error));
+    conn.buffer.commit(count);
+    co_return error;
+}
+
+/// Parses what has been received and receives more until `done()`. Returns to its caller's limits after each
+/// read: Beast's own read operations go on for as long as the received bytes end within a chunk header.
+asio::awaitable<error_code> connection_pool::parse_until(connection& conn, response_parser& parser,
+                                                         const exchange_options& options,
+                                                         const std::function<bool()>& done) {
+    std::size_t parsed = 0;
+    while (!done()) {
+        error_code error;
+        if (conn.buffer.size() > 0) {
+            const std::size_t count = parser.put(conn.buffer.data(), error);
+            conn.buffer.consume(count);
+            parsed += count;
+            if (!error && count > 0) {
+                continue;
+            }
+        }
+        if (error && error != http::error::need_more) {
+            co_return error;
+        }
+        if (parsed > max_framing_bytes + parser.get().body().size() * max_framing_bytes_per_body_byte) {
+            co_return make_error_code(http::error::body_limit);
+        }
+    }
+    co_return error_code{};
+}
+
+asio::awaitable<error_code> connection_pool::receive(connection& conn, response_parser& parser,
+                                                     const exchange_options& options) {
+    std::size_t counted = 0;
+    ++m_receiving_responses;
+    const common::scope_guard release([this, &counted] {
+        m_receiving_bytes -= counted;
+        --m_receiving_responses;
+    });
+    // GCC 12 mishandles some temporaries in a co_await expression, so the conditions have names.
+    const std::function<bool()> header_done = [&parser] { return parser.is_header_done(); };
+    error_code error = co_await parse_until(conn, parser, options, header_done);
+    if (!error && exceeds_body_limit(parser, options.max_body_bytes)) {
         error = make_error_code(http::error::body_limit);
     }
     if (error) {
         co_return error;
     }
     parser.eager(true);
-    while (!parser.is_done()) {
-        co_await http::async_read_some(conn.stream, conn.buffer, parser, redirect_error_to(error));
-        if (error) {
+    bool displaced = false;
+    const std::function<bool()> body_done = [&] {
+        const std::size_t capacity = parser.get().body().capacity();
+        m_receiving_bytes += capacity - counted;
+        counted = capacity;
+        // Cuts off a response of at least the mean size, so that those without end do not displace small
+        // ones.
+        displaced =
+            m_receiving_bytes > max_receiving_bytes && capacity * m_receiving_responses >= m_receiving_bytes;
+        return displaced || parser.is_done();
+    };
+    error = co_await parse_until(conn, parser, options, body_done);
+    co_return displaced ? make_error_code(http::error::body_limit) : error;
+        error = co_await receive_some(conn, options.deadline);
+        if (error == asio::error::eof && parser.got_some()) {
+            parser.put_eof(error);
             co_return error;
         }
-        const std::size_t received = parser.get().body().size();
-        m_receiving_bytes += received - counted;
-        counted = received;
-        if (m_receiving_bytes > max_receiving_bytes) {
-            co_return make_error_code(http::error::body_limit);
+        if (error) {
+            co_return error;
         }
-    }
-    co_return error;
 }
 
 asio::awaitable<tl::expected<response_message, exchange_error>>
 connection_pool::read_response(connection_ptr conn, bool head_request, const exchange_options& options) {
     for (int unmatched = 0; unmatched <= max_unmatched_responses; ++unmatched) {
-        http::response_parser<http::string_body> parser;
+        response_parser parser;
         parser.header_limit(max_header_bytes);
         parser.body_limit(options.max_body_bytes);
         parser.skip(head_request);
-        const error_code error = co_await receive(*conn, parser, options.max_body_bytes);
+        const error_code error = co_await receive(*conn, parser, options);
         if (error) {
             const auto kind = error == beast::error::timeout ? exchange_error_kind::timed_out
                                                              : exchange_error_kind::response_lost;
--- a/packages/forwarding/tests/daemon_under_test.hpp
+++ b/packages/forwarding/tests/daemon_under_test.hpp
@@ -41,7 +41,8 @@
 /// Forwarder of one daemon, between raw caller connections and a scripted target.
 class daemon_under_test {
 public:
-    explicit daemon_under_test(const common::endpoint& target, double link_megabits = 1'000)
+    explicit daemon_under_test(const common::endpoint& target, double link_megabits = 1'000,
+                               std::uint32_t slots = 4)
         : m_events("h1", std::make_shared<common::hybrid_clock>(), [](const telemetry::timeline_event&) {}) {
         forwarder_settings settings;
         settings.callers = {"127.0.0.1", 0};
@@ -60,12 +61,12 @@
         m_forwarder = forwarder::start(settings, std::move(sinks), m_events, m_metrics).value();
         configure();
         m_forwarder->post(local_instance_changed{
-            target_instance{"i-1", target, "desk", 4, admission::target_state::ready}});
+            target_instance{"i-1", target, "desk", slots, admission::target_state::ready}});
         balancing::target_view view;
         view.host = "h1";
         view.failure_domain = "z";
         view.peer = m_forwarder->peer_endpoint();
-        view.slots = 4;
+        view.slots = slots;
         m_forwarder->post(targets_changed{{{"desk", {view}}}});
     }
 
--- a/packages/forwarding/tests/failing_peers_test.cpp
+++ b/packages/forwarding/tests/failing_peers_test.cpp
@@ -4,6 +4,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
 #include <vector>
 
@@ -230,3 +231,52 @@
 
 } // namespace
 } // namespace boragehollow::forwarding
+        {"chunks that are mostly extension", chunked, "1;" + std::string(5'000, 'x') + "\r\ne\r\n"},
+        {"chunks of one byte", chunked, "1\r\ne\r\n"},
+        const auto started = common::steady_clock::now();
+        // The route's timeout is 1 s, and the users allow half a second beyond it.
+        EXPECT_LT(common::steady_clock::now() - started, 1'500ms);
+// Guards against the memory that responses without end take when they hold all slots of a target, and against
+// other calls that are cut off with them. The smallest hosts of the users have 110 MB.
+TEST(failing_peers, responses_without_end_take_bounded_memory_and_spare_other_calls) {
+    constexpr std::uint32_t slots = 12;
+    const std::string block(16'384, 'e');
+    scripted_server target([&block](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        if (id.starts_with("sound")) {
+            send(socket, ok_response(id, std::string(100'000, 's')));
+            return true;
+        }
+        error_code error;
+        const std::string begin = "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nX-Signature: s\r\n\r\n";
+        asio::write(socket, asio::buffer(begin), error);
+        const auto end = common::steady_clock::now() + 4s;
+        while (!error && common::steady_clock::now() < end) {
+            asio::write(socket, asio::buffer(block), error);
+        }
+        return false;
+    });
+    daemon_under_test daemon(target.address(), 1'000, slots);
+    const std::size_t before = resident_bytes();
+    std::size_t peak = before;
+    for (int round = 0; round < 3; ++round) {
+        std::vector<std::unique_ptr<raw_client>> callers;
+        for (std::uint32_t i = 0; i + 1 < slots; ++i) {
+            callers.push_back(std::make_unique<raw_client>(daemon.caller_endpoint()));
+            callers.back()->write(
+                request("POST", "/order/a", "e" + std::to_string(i), "Content-Length: 0\r\n"));
+        }
+        raw_client sound(daemon.caller_endpoint());
+        for (int i = 0; i < 20; ++i) {
+            sound.write(request("GET", "/safe/a", "sound" + std::to_string(i)));
+            EXPECT_TRUE(sound.read().ends_with("ss"));
+            peak = std::max(peak, resident_bytes());
+        }
+        for (const auto& caller : callers) {
+            const std::string result = caller->read();
+            EXPECT_TRUE(result.starts_with("HTTP/1.1 502") || result.starts_with("HTTP/1.1 504")) << result;
+        }
+    }
+    EXPECT_LT(peak, before + 64ULL * 1024 * 1024);
+}
+
