Do not run requests behind the response that closes their connection

Cause: read_requests looked at m_stop_reading before it waited for the next request and not after. write_responses set the flag only after it had written the last response, and enqueue_request cleared it.

Change: the flag is set before the last response is written and looked at after each read. A stopping daemon also waits for responses to other daemons and for closing connections. A related state that was not looked at after a wait: a refused connection marked the instance that had replaced the asked one as unreachable (seen by reading, no test).

--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -103,8 +103,8 @@
 
     /// Closes each caller connection after its next response.
     void start_connection_drain() { m_draining_connections = true; }
-    /// Calls in progress, for callers and at the local target, plus caller responses that are not yet
-    /// written.
+    /// Calls in progress, for callers and at the local target, plus responses that are not yet written and
+    /// closing connections whose client may not have read its last response.
     std::size_t open_calls() const { return m_open_calls + m_unwritten_responses; }
     bool has_configuration() const { return m_has_configuration; }
     bool knows_targets() const { return m_knows_targets; }
@@ -148,7 +148,7 @@
     std::atomic<bool> m_knows_targets{false};
     bool m_stopped = false;
     std::atomic<std::size_t> m_open_calls{0};
-    std::atomic<std::size_t> m_unwritten_responses{0}; ///< Responses to callers that are not yet written.
+    std::atomic<std::size_t> m_unwritten_responses{0}; ///< Includes closing connections.
     config::caller_limits m_limits;
     local_target m_target;
     call_router m_router;
--- a/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
@@ -24,7 +24,8 @@
     std::function<config::caller_limits()> limits;
     /// True while the daemon drains its connections: each one is closed after its next response.
     std::function<bool()> draining_connections;
-    /// Called with the change in the number of responses that are not yet written.
+    /// Called with the change in the number of responses that are not yet written, and of connections whose
+    /// client may not have read the last one.
     std::function<void(int difference)> pending_responses_changed;
 };
 
@@ -43,7 +44,7 @@
     /// Closes the connection when it exceeded the idle timeout, or the timeout for reading a request.
     void enforce_timeouts(common::steady_time now);
 
-    /// Closes the connection unless a request is in progress.
+    /// Closes the connection after the linger time unless a request is in progress.
     void close_if_idle();
     void close();
 
@@ -58,6 +59,8 @@
     asio::awaitable<error_code> read_request(std::optional<request_message>& request);
     asio::awaitable<void> handle_request(pending_ptr pending, request_message request);
     asio::awaitable<void> write_responses();
+    asio::awaitable<void> discard_input();
+    asio::awaitable<void> linger();
     asio::awaitable<void> write_response(pending_response& pending, error_code& error);
     void enqueue_request(request_message request);
     void reject_malformed_request(const error_code& error);
@@ -75,7 +78,8 @@
     bool m_from_own_host = false;   ///< The client has the address on which it reached this daemon.
     bool m_reading_request = false; ///< Part of a request has been received.
     bool m_reading_ended = false;   ///< The last request has been read or reading failed.
-    bool m_stop_reading = false;    ///< No further request is read.
+    bool m_input_ended = false;     ///< The client closed its side of the connection.
+    bool m_stop_reading = false;    ///< No further request is accepted.
     bool m_closed = false;
 };
 
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -156,9 +156,10 @@
     callers->may_pipeline = [this](const request_message& request) { return m_router.may_pipeline(request); };
     callers->limits = [this] { return m_limits; };
     callers->draining_connections = [this] { return m_draining_connections.load(); };
-    callers->pending_responses_changed = [this](int difference) {
+    const auto count_responses = [this](int difference) {
         m_unwritten_responses += static_cast<std::size_t>(difference);
     };
+    callers->pending_responses_changed = count_responses;
 
     auto peers = std::make_shared<session_callbacks>();
     peers->handle = [this](request_message request, request_context context) {
@@ -167,7 +168,7 @@
     peers->may_pipeline = [](const request_message&) { return false; };
     peers->limits = [this] { return peer_limits(m_limits); };
     peers->draining_connections = [] { return false; };
-    peers->pending_responses_changed = [](int) {};
+    peers->pending_responses_changed = count_responses;
 
     asio::co_spawn(m_context, accept(m_caller_acceptor, callers), asio::detached);
     asio::co_spawn(m_context, accept(m_peer_acceptor, peers), asio::detached);
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/forwarding/http_session.hpp"
 
+#include "boragehollow/common/scope_guard.hpp"
 #include "boragehollow/forwarding/connection_pool.hpp"
 #include "boragehollow/forwarding/paced_body.hpp"
 
@@ -135,7 +136,8 @@
     if (exceeds_body_limit(parser, limits.body_bytes)) {
         co_return make_error_code(http::error::body_limit);
     }
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue") && m_pending.empty()) {
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue") && m_pending.empty() &&
+        !m_stop_reading) {
         static constexpr std::string_view proceed = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_socket, asio::buffer(proceed), redirect_error_to(error));
     }
@@ -157,6 +159,11 @@
         if (m_closed) {
             co_return;
         }
+        if (m_stop_reading) {
+            // The response that closes the connection was started during the read. The client treats a
+            // request behind it as not received, so this one must not run.
+            break;
+        }
         if (error) {
             if (is_malformed(error)) {
                 reject_malformed_request(error);
@@ -175,24 +182,34 @@
         }
     }
     m_reading_ended = true;
-    // Detects a disconnect of the client while the last responses are pending.
-    while (!m_closed && !m_pending.empty()) {
+    m_pending_changed.cancel();
+    co_await discard_input();
+}
+
+/// Detects a disconnect of the client while the last responses are pending, and leaves no unread bytes
+/// behind: closing a socket that holds some resets the connection, and the reset can overtake the last
+/// response.
+asio::awaitable<void> http_session::discard_input() {
+    while (!m_closed) {
         error_code error;
-        std::array<char, 256> unread{};
+        std::array<char, 4096> unread{};
         co_await m_socket.async_read_some(asio::buffer(unread), redirect_error_to(error));
         if (error) {
-            client_disconnected();
-            break;
+            m_input_ended = true;
+            if (!m_pending.empty()) {
+                client_disconnected();
+            }
+            m_pending_changed.cancel();
+            co_return;
         }
     }
-    m_pending_changed.cancel();
 }
 
 void http_session::enqueue_request(request_message request) {
     auto pending = std::make_shared<pending_response>(std::move(request));
     pending->keep_alive = pending->request.keep_alive();
     pending->head_request = pending->request.method() == http::verb::head;
-    m_stop_reading = !pending->keep_alive;
+    m_stop_reading = m_stop_reading || !pending->keep_alive;
     add_pending(pending);
     start_ready_requests();
     m_pending_changed.cancel();
@@ -256,10 +273,11 @@
     error_code error;
     while (!m_closed) {
         if (m_pending.empty() || !m_pending.front()->response) {
-            if (m_pending.empty() && m_reading_ended) {
+            if (m_pending.empty() && (m_reading_ended || m_stop_reading)) {
                 break;
             }
-            co_await m_pending_changed.async_wait(redirect_error_to(error));
+            error_code ignored;
+            co_await m_pending_changed.async_wait(redirect_error_to(ignored));
             continue;
         }
         const pending_ptr pending = m_pending.front();
@@ -267,6 +285,8 @@
         const bool close_after =
             !pending->keep_alive || (m_callbacks->draining_connections() && m_pending.size() == 1);
         pending->response->message.keep_alive(!close_after);
+        // Set before the write: a request that is received during the write is behind the last response.
+        m_stop_reading = m_stop_reading || close_after;
         co_await write_response(*pending, error);
         if (error || m_closed) {
             break;
@@ -275,24 +295,31 @@
         m_callbacks->pending_responses_changed(-1);
         m_last_activity = common::steady_clock::now();
         if (close_after) {
-            // The client must treat requests behind this response as not received.
-            m_stop_reading = true;
             break;
         }
         start_ready_requests();
         m_pending_changed.cancel();
     }
-    if (m_closed) {
-        co_return;
-    }
-    m_socket.shutdown(tcp::socket::shutdown_send, error);
-    if (!m_reading_ended) {
-        asio::steady_timer timer(m_socket.get_executor(), linger_timeout);
-        co_await timer.async_wait(redirect_error_to(error));
+    if (!error && !m_closed) {
+        co_await linger();
     }
     close();
 }
 
+/// Gives the client time to read the last response and to close its side.
+asio::awaitable<void> http_session::linger() {
+    // A stopping daemon waits for these connections as for unwritten responses.
+    m_callbacks->pending_responses_changed(1);
+    const common::scope_guard lingered([this] { m_callbacks->pending_responses_changed(-1); });
+    error_code ignored;
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    const common::steady_time end = common::steady_clock::now() + linger_timeout;
+    m_pending_changed.expires_at(end);
+    while (!m_closed && !m_input_ended && common::steady_clock::now() < end) {
+        co_await m_pending_changed.async_wait(redirect_error_to(ignored));
+    }
+}
+
 void http_session::client_disconnected() {
     m_stop_reading = true;
     for (const pending_ptr& pending : m_pending) {
@@ -315,7 +342,8 @@
 
 void http_session::close_if_idle() {
     if (m_pending.empty() && !m_reading_request) {
-        close();
+        m_stop_reading = true;
+        m_pending_changed.cancel();
     }
 }
 
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -161,17 +161,23 @@
     if (response) {
         const bool shed = response->find(beast_view(m_names.not_executed)) != response->end();
         if (response->result_int() == misdirected_request_status) {
-            m_on_unreachable();
+            report_unreachable();
         }
         attempt.metadata.outcome = forwarding_outcome::answered;
         attempt.result = shed ? admission::call_result::shed : admission::call_result::answered;
         attempt.response = std::move(*response);
         co_return attempt;
+    // The instance can be replaced during the exchange; the new one is not unreachable.
+    const auto report_unreachable = [this, instance_id = m_instance->id] {
+        if (m_instance && m_instance->id == instance_id) {
+            m_on_unreachable();
+        }
+    };
     }
     attempt.metadata.reason = response.error().detail;
     switch (response.error().kind) {
     case exchange_error_kind::connection_refused:
-        m_on_unreachable();
+        report_unreachable();
         [[fallthrough]];
     case exchange_error_kind::not_sent:
         attempt.metadata.outcome = forwarding_outcome::unsent;
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace boragehollow::forwarding {
@@ -317,5 +318,46 @@
     EXPECT_LT(served, max_tries / 2);
 }
 
+// Guards against a request that crosses the response which closes its connection: the daemon ran it and never
+// answered it.
+TEST(forwarder, request_behind_the_last_response_is_not_run) {
+    std::mutex mutex;
+    std::set<std::string> ran;
+    scripted_server target([&](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        {
+            const std::lock_guard lock(mutex);
+            ran.insert(id);
+        }
+        std::this_thread::sleep_for(30ms);
+        send(socket, ok_response(id, "ok"));
+        return true;
+    });
+    for (int round = 0; round < 5; ++round) {
+        daemon_under_test daemon(target.address());
+        raw_client caller(daemon.caller_endpoint());
+        const std::string prefix = std::to_string(round) + "-";
+        caller.write(request("GET", "/safe/a", prefix + "first"));
+        const auto first_runs = [&] {
+            const std::lock_guard lock(mutex);
+            return ran.contains(prefix + "first");
+        };
+        ASSERT_TRUE(eventually(first_runs));
+        daemon.get().start_connection_drain();
+        std::set<std::string> answered;
+        std::string response = caller.read();
+        // A client that is some milliseconds away has sent this before it receives the last response.
+        caller.write(request("GET", "/safe/a", prefix + "crossing"));
+        while (!response.empty()) {
+            answered.insert(header(response, "X-Id"));
+            response = caller.read();
+        }
+        std::this_thread::sleep_for(30ms);
+        const std::lock_guard lock(mutex);
+        EXPECT_TRUE(answered.contains(prefix + "first"));
+        EXPECT_EQ(ran.contains(prefix + "crossing"), answered.contains(prefix + "crossing"));
+    }
+}
+
 } // namespace
 } // namespace boragehollow::forwarding
