Refuse calls that may outlast a stopping daemon

What callers saw (a report of other operators): requests that came late in the grace were passed on and cut when the process ended.

Cause: after it has stopped accepting connections, a daemon still serves one more request on each open one, whatever its deadline.

Calls that end in time, such as those that the target on this host makes for its running work, are served as before.

Test: forwarder.call_that_may_outlast_the_drain_is_refused. With the check taken out it fails: the request is passed on.

--- a/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace boragehollow::forwarding {
@@ -36,6 +37,9 @@
     void set_routes(std::shared_ptr<const routing::route_table> routes, common::steady_time now);
     balancing::balancer& targets() { return m_balancer; }
 
+    /// The process ends at this time: refuses calls that may not be answered by then.
+    void refuse_calls_beyond(common::steady_time end) { m_end = end; }
+
     asio::awaitable<response_message> handle(request_message request, request_context context);
 
     /// False for a call that must not start while earlier calls of its connection are in progress.
@@ -74,6 +78,7 @@
     call_log m_log;
     newer_config_sink m_newer_config;
     std::shared_ptr<const routing::route_table> m_routes;
+    std::optional<common::steady_time> m_end; ///< Set when the daemon stops.
     balancing::caller_wait_estimator m_wait_estimator;
     std::map<std::string, admission::shedding_outlook> m_shedding; ///< By service.
     balancing::balancer m_balancer;
--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -55,8 +55,11 @@
 /// Drains the target on this host: refuses queued and new calls.
 struct drain_local_target {};
 
-/// Stops accepting caller connections and closes the idle ones.
-struct stop_accepting {};
+/// Stops accepting caller connections and closes the idle ones. Calls whose deadline is later than `end` are
+/// refused from then on, since the process ends at that time.
+struct stop_accepting {
+    common::steady_time end;
+};
 
 using forwarder_message = std::variant<configuration_changed, targets_changed, local_instance_changed,
                                        send_control_request, drain_local_target, stop_accepting>;
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -33,6 +33,8 @@
 
 /// Retry-After of a daemon that has no configuration yet: a daemon starts in about this time.
 constexpr milliseconds no_configuration_retry_after{400};
+/// Retry-After of a daemon that stops: its host's callers use other hosts by then.
+constexpr milliseconds stopping_retry_after{400};
 /// Retry-After when no target is known: the announcement of a new target arrives within about a second.
 constexpr milliseconds no_target_retry_after{400};
 
@@ -171,6 +173,13 @@
                                         std::min<std::uint64_t>(*stated, 86'400'000))));
     }
     current.deadline = current.received + timeout;
+    if (m_end && current.deadline + peer_response_grace > *m_end) {
+        m_refused.add();
+        m_log.write(event_number::call_not_admitted,
+                    {{"request", current.id}, {"service", route.service}, {"reason", "stopping"}},
+                    current.received);
+        return make_daemon_response(current, http::status::service_unavailable, stopping_retry_after);
+    }
     if (route.target_latency.count() > 0) {
         const auto stated = read_number(request, m_settings.names.time_left);
         const milliseconds waited =
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -336,7 +336,8 @@
     m_target.start_drain();
 }
 
-void forwarder::handle(const stop_accepting&) {
+void forwarder::handle(const stop_accepting& message) {
+    m_router.refuse_calls_beyond(message.end);
     error_code ignored;
     m_caller_acceptor.close(ignored);
     for (const std::shared_ptr<http_session>& session : m_sessions) {
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -359,5 +359,34 @@
     }
 }
 
+// Guards against a request that arrives late in the drain of a daemon: it was passed on, and cut without an
+// answer when the process ended.
+TEST(forwarder, call_that_may_outlast_the_drain_is_refused) {
+    std::atomic<int> ran{0};
+    scripted_server target([&ran](tcp::socket& socket, const std::string& head) {
+        ++ran;
+        std::this_thread::sleep_for(150ms);
+        send(socket, ok_response(header(head, "X-Id"), "ok"));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client busy(daemon.caller_endpoint());
+    // Its connection is not idle when the daemon stops accepting, so that it accepts one more request.
+    busy.write(request("GET", "/safe/a", "running"));
+    ASSERT_TRUE(eventually([&ran] { return ran == 1; }));
+    daemon.get().start_connection_drain();
+    daemon.get().post(stop_accepting{common::steady_clock::now() + 600ms});
+    std::this_thread::sleep_for(20ms);
+    // The timeout of the route is 1 s.
+    busy.write(request("POST", "/order/a", "late", "Content-Length: 0\r\n"));
+    EXPECT_TRUE(busy.read().starts_with("HTTP/1.1 200"));
+    const std::string refused = busy.read();
+    EXPECT_TRUE(refused.starts_with("HTTP/1.1 503")) << refused;
+    EXPECT_FALSE(header(refused, "Retry-After").empty());
+    EXPECT_EQ(header(refused, "Connection"), "close");
+    EXPECT_EQ(ran, 1);
+    EXPECT_TRUE(eventually([&daemon] { return daemon.get().open_calls() == 0; }));
+}
+
 } // namespace
 } // namespace boragehollow::forwarding
--- a/programs/boragehollowd/document_shutdown.cpp
+++ b/programs/boragehollowd/document_shutdown.cpp
@@ -42,7 +42,7 @@
     pause.pop_until(started + target_service_time + leave_propagation_time);
     daemon.forwarder->post(forwarding::drain_local_target{});
     pause.pop_until(started + readiness_propagation_time);
-    daemon.forwarder->post(forwarding::stop_accepting{});
+    daemon.forwarder->post(forwarding::stop_accepting{started + limit});
     daemon.membership->ring().push_until(leave_mesh{}, deadline_after(control_timeout));
     pause.pop_until(common::steady_clock::now() + drain_poll_interval);
     while (daemon.forwarder->open_calls() > 0) {
