Take a response for a call's own only if it names the call

Cause: a response without an id was accepted as the call's own, and nothing looked for the signature of a success.

Change: a response counts only with the id of the call; a refusal without one counts only as the first response on its connection. A success without a signature is a lost response. A connection with a response that names no waiting call is closed after its call. Ruled out: the copy of a refusal with the id of a call that is sent to the same target again; the target's daemon refuses the second attempt by its id.

Tests: failing_peers.response_without_an_id_reaches_nobody, unsigned_success_is_not_forwarded and copy_of_a_refusal_is_not_taken_for_the_response_to_another_call.

--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -30,14 +30,21 @@
     std::string detail;
 };
 
+/// How a response relates to the request that waits for one.
+enum class response_match {
+    own,
+    unidentified, ///< Nothing names its request, but it can only be this one. The connection is not used
+                  ///< again.
+    foreign,      ///< Belongs to an earlier request or to none, and is dropped.
+};
+
 struct exchange_options {
     common::steady_time deadline;
     std::chrono::milliseconds connect_timeout{250};
     /// A connection that was idle for longer is not reused.
     std::chrono::milliseconds max_idle_time{2'000};
-    /// True for the response to this request. Other responses on the connection belong to earlier requests
-    /// and are dropped.
-    std::function<bool(const response_message&)> matches_request;
+    /// Tells whether a response belongs to this request; without it, every response does.
+    std::function<response_match(const response_message&, bool first_on_connection)> match;
     std::size_t max_body_bytes = 16ULL * 1024 * 1024;
     /// Time over which a large body is sent. It is written in chunks, so that small messages of other calls
     /// are sent between them. 0: without pauses.
@@ -73,6 +80,7 @@
 private:
     struct connection;
     using connection_ptr = std::shared_ptr<connection>;
+    using response_parser = http::response_parser<http::string_body>;
 
     connection_ptr take_idle(const common::endpoint& remote, std::chrono::milliseconds max_idle_time);
     asio::awaitable<tl::expected<connection_ptr, exchange_error>>
@@ -84,7 +92,6 @@
                                             const std::function<bool()>& done);
     asio::awaitable<error_code> receive_some(connection& conn, common::steady_time deadline);
     asio::awaitable<tl::expected<response_message, exchange_error>>
-    using response_parser = http::response_parser<http::string_body>;
     read_response(connection_ptr conn, bool head_request, const exchange_options& options);
     asio::awaitable<void> write_large_request(connection_ptr conn, std::chrono::milliseconds duration);
     void return_to_pool(const common::endpoint& remote, connection_ptr conn,
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -106,6 +106,8 @@
     common::steady_time usable_until = common::steady_time::max();
     bool written = false;
     error_code write_error;
+    bool responded = false; ///< A response was received, to whichever request.
+    bool trusted = true;    ///< Every response named the request that waited for it.
 };
 
 connection_pool::connection_ptr connection_pool::take_idle(const common::endpoint& remote,
@@ -197,6 +199,14 @@
         if (parsed > max_framing_bytes + parser.get().body().size() * max_framing_bytes_per_body_byte) {
             co_return make_error_code(http::error::body_limit);
         }
+        error = co_await receive_some(conn, options.deadline);
+        if (error == asio::error::eof && parser.got_some()) {
+            parser.put_eof(error);
+            co_return error;
+        }
+        if (error) {
+            co_return error;
+        }
     }
     co_return error_code{};
 }
@@ -232,14 +242,6 @@
     };
     error = co_await parse_until(conn, parser, options, body_done);
     co_return displaced ? make_error_code(http::error::body_limit) : error;
-        error = co_await receive_some(conn, options.deadline);
-        if (error == asio::error::eof && parser.got_some()) {
-            parser.put_eof(error);
-            co_return error;
-        }
-        if (error) {
-            co_return error;
-        }
 }
 
 asio::awaitable<tl::expected<response_message, exchange_error>>
@@ -262,7 +264,11 @@
         const bool keep_alive = parser.keep_alive();
         response_message response = parser.release();
         response.keep_alive(keep_alive);
-        if (!options.matches_request || options.matches_request(response)) {
+        const bool first_on_connection = !std::exchange(conn->responded, true);
+        const response_match match =
+            options.match ? options.match(response, first_on_connection) : response_match::own;
+        conn->trusted = conn->trusted && match == response_match::own;
+        if (match != response_match::foreign) {
             co_return response;
         }
         ++m_counters.unmatched_responses;
@@ -334,8 +340,8 @@
         conn->stream.close();
         co_return tl::unexpected(response.error());
     }
-    const bool reusable =
-        response->keep_alive() && conn->written && !conn->write_error && conn->buffer.size() == 0;
+    const bool reusable = response->keep_alive() && conn->written && !conn->write_error &&
+                          conn->buffer.size() == 0 && conn->trusted;
     if (reusable) {
         return_to_pool(remote, conn, *response);
     } else {
--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -152,14 +152,37 @@
     options.deadline = deadline + target_response_grace;
     options.connect_timeout = target_connect_timeout;
     options.max_idle_time = call.idempotent ? max_idle_time_idempotent : max_idle_time_non_idempotent;
-    options.matches_request = [this, id = call.request_id](const response_message& response) {
+    const auto is_refusal = [this](const response_message& response) {
+        return response.find(beast_view(m_names.not_executed)) != response.end();
+    };
+    // A target repeats the id of the request in its response; bytes without it belong to no request. A
+    // refusal without it cannot be a copy of an earlier one if it is the first response on its connection.
+    options.match = [this, is_refusal, id = call.request_id](const response_message& response,
+                                                             bool first_on_connection) {
         const auto response_id = response[beast_view(m_names.request_id)];
-        return response_id.empty() || view_of(response_id) == id;
+        if (view_of(response_id) == id) {
+            return response_match::own;
+        }
+        const bool first_refusal = response_id.empty() && first_on_connection && is_refusal(response);
+        return first_refusal ? response_match::unidentified : response_match::foreign;
     };
     const common::endpoint address = m_instance->address;
+    // The instance can be replaced during the exchange; the new one is not unreachable.
+    const auto report_unreachable = [this, instance_id = m_instance->id] {
+        if (m_instance && m_instance->id == instance_id) {
+            m_on_unreachable();
+        }
+    };
     auto response = co_await m_pool.exchange(address, std::move(request), std::move(options), cancelled);
+    const bool unsigned_success =
+        response && http::to_status_class(response->result()) == http::status_class::successful &&
+        response->find(beast_view(m_names.response_signature)) == response->end();
+    if (unsigned_success) {
+        response = tl::unexpected(
+            exchange_error{exchange_error_kind::response_lost, "a successful response without a signature"});
+    }
     if (response) {
-        const bool shed = response->find(beast_view(m_names.not_executed)) != response->end();
+        const bool shed = is_refusal(*response);
         if (response->result_int() == misdirected_request_status) {
             report_unreachable();
         }
@@ -167,12 +190,6 @@
         attempt.result = shed ? admission::call_result::shed : admission::call_result::answered;
         attempt.response = std::move(*response);
         co_return attempt;
-    // The instance can be replaced during the exchange; the new one is not unreachable.
-    const auto report_unreachable = [this, instance_id = m_instance->id] {
-        if (m_instance && m_instance->id == instance_id) {
-            m_on_unreachable();
-        }
-    };
     }
     attempt.metadata.reason = response.error().detail;
     switch (response.error().kind) {
--- a/packages/forwarding/tests/failing_peers_test.cpp
+++ b/packages/forwarding/tests/failing_peers_test.cpp
@@ -90,6 +90,72 @@
     EXPECT_TRUE(caller.read().ends_with("own-i"));
 }
 
+// Guards against additional bytes in the form of a response without an id, which arrive after the next
+// request was sent and reached its caller as a success.
+TEST(failing_peers, response_without_an_id_reaches_nobody) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        const std::string id = header(head, "X-Id");
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra" + ok_response(id, "own-" + id));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.caller_endpoint());
+    for (const char* id : {"a", "b", "c"}) {
+        caller.write(request("POST", "/order/a", id, "Content-Length: 0\r\n"));
+        EXPECT_TRUE(caller.read().ends_with(std::string("own-") + id));
+    }
+}
+
+// Guards against a success that lacks the signature by which the users recognise their targets' responses.
+TEST(failing_peers, unsigned_success_is_not_forwarded) {
+    scripted_server target([](tcp::socket& socket, const std::string& head) {
+        send(socket, "HTTP/1.1 200 OK\r\nX-Id: " + header(head, "X-Id") + "\r\nContent-Length: 2\r\n\r\nok");
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    raw_client caller(daemon.caller_endpoint());
+    caller.write(request("POST", "/order/a", "u", "Content-Length: 0\r\n"));
+    EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 502"));
+}
+
+// Guards against a copy of an earlier refusal on a kept connection: the caller was told that a call had not
+// run although it was running, or the call ran a second time. The copy has the id of the refused call, or
+// none.
+TEST(failing_peers, copy_of_a_refusal_is_not_taken_for_the_response_to_another_call) {
+    for (const bool copy_has_id : {true, false}) {
+        SCOPED_TRACE(copy_has_id);
+        std::atomic<int> ran{0};
+        scripted_server target([&ran, copy_has_id](tcp::socket& socket, const std::string& head) {
+            const std::string id = header(head, "X-Id");
+            const auto refusal = [](const std::string& id_line) {
+                return "HTTP/1.1 503 Busy\r\n" + id_line + "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            };
+            if (id.starts_with("refused")) {
+                send(socket, refusal("X-Id: " + id + "\r\n"));
+                return true;
+            }
+            ++ran;
+            send(socket, refusal(copy_has_id ? "X-Id: refused-" + id + "\r\n" : std::string()));
+            std::this_thread::sleep_for(20ms);
+            send(socket, ok_response(id, "own-" + id));
+            return true;
+        });
+        for (int i = 0; i < 8; ++i) {
+            const std::string id = std::to_string(i);
+            // A new daemon each time: after several refusals it takes the target for one that sheds.
+            daemon_under_test daemon(target.address());
+            raw_client caller(daemon.caller_endpoint());
+            caller.write(request("GET", "/safe/a", "refused-" + id));
+            EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 503"));
+            ran = 0;
+            caller.write(request("POST", "/order/a", id, "Content-Length: 0\r\n"));
+            const std::string response = caller.read();
+            EXPECT_TRUE(response.ends_with("own-" + id)) << response;
+            EXPECT_EQ(ran, 1);
+        }
+    }
+}
+
 // Guards against a call that runs again, or that its caller is told has not run, after the response to it was
 // lost: at the target, and between two daemons.
 TEST(failing_peers, call_with_a_lost_response_runs_once_and_is_not_called_not_run) {
@@ -184,6 +250,8 @@
         {"body with a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", block},
         {"chunks", chunked, "4000\r\n" + block + "\r\n"},
         {"chunk extension", chunked + "1;", block},
+        {"chunks that are mostly extension", chunked, "1;" + std::string(5'000, 'x') + "\r\ne\r\n"},
+        {"chunks of one byte", chunked, "1\r\ne\r\n"},
         {"trailer", chunked + "0\r\n", "X-Fill: " + std::string(1'000, 't') + "\r\n"},
         {"informational responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
     };
@@ -211,6 +279,7 @@
         });
         daemon_under_test daemon(target.address());
         const std::size_t before = resident_bytes();
+        const auto started = common::steady_clock::now();
         std::vector<std::unique_ptr<raw_client>> callers;
         for (int i = 0; i < 3; ++i) {
             callers.push_back(std::make_unique<raw_client>(daemon.caller_endpoint()));
@@ -224,18 +293,13 @@
             const std::string result = caller->read();
             EXPECT_TRUE(result.starts_with("HTTP/1.1 502") || result.starts_with("HTTP/1.1 504")) << result;
         }
+        // The route's timeout is 1 s, and the users allow half a second beyond it.
+        EXPECT_LT(common::steady_clock::now() - started, 1'500ms);
         EXPECT_LT(resident_bytes(), before + 96ULL * 1024 * 1024);
         EXPECT_TRUE(eventually([&closed] { return closed.load(); }));
     }
 }
 
-} // namespace
-} // namespace boragehollow::forwarding
-        {"chunks that are mostly extension", chunked, "1;" + std::string(5'000, 'x') + "\r\ne\r\n"},
-        {"chunks of one byte", chunked, "1\r\ne\r\n"},
-        const auto started = common::steady_clock::now();
-        // The route's timeout is 1 s, and the users allow half a second beyond it.
-        EXPECT_LT(common::steady_clock::now() - started, 1'500ms);
 // Guards against the memory that responses without end take when they hold all slots of a target, and against
 // other calls that are cut off with them. The smallest hosts of the users have 110 MB.
 TEST(failing_peers, responses_without_end_take_bounded_memory_and_spare_other_calls) {
@@ -280,3 +344,5 @@
     EXPECT_LT(peak, before + 64ULL * 1024 * 1024);
 }
 
+} // namespace
+} // namespace boragehollow::forwarding
