Keep drains and departures of targets through a restart of their daemon

Cause: only the memory of the process held which incarnations had been withdrawn, drains included.

The acknowledgement waits 0.5 s for the platform at most; a failed save is retried. Until the restore, a target becomes available only with its second announcement.

--- a/packages/admission/include/boragehollow/admission/instance_tracker.hpp
+++ b/packages/admission/include/boragehollow/admission/instance_tracker.hpp
@@ -3,11 +3,12 @@
 #include "boragehollow/admission/messages.hpp"
 #include "boragehollow/common/endpoint.hpp"
 
+#include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace boragehollow::admission {
 
@@ -35,9 +36,21 @@
     bool operator==(const current_instance&) const = default;
 };
 
+/// An incarnation that must not receive new work again, since its drain or its end was acknowledged.
+struct withdrawn_instance {
+    std::string id;
+    std::uint64_t incarnation = 0;
+    /// The target departed before this daemon received its incarnation.
+    bool incarnation_unknown = false;
+    bool ended = false; ///< False while the incarnation drains.
+
+    bool operator==(const withdrawn_instance&) const = default;
+};
+
 /// The announcement changed or confirmed the state of the target.
 struct announcement_accepted {
     bool changed = false;
+    bool withdrawn = false; ///< The announcement is the first that reports the drain of its incarnation.
 };
 
 /// A later announcement was processed before, or the incarnation has ended.
@@ -58,6 +71,9 @@
 
 /// Tracks the current incarnation of the local target from its announcements. A delayed announcement must not
 /// restore an ended incarnation or an earlier state.
+///
+/// A restarted daemon does not know which incarnations were withdrawn before. Until it has been told, one
+/// announcement may be a delayed one and only a second, later one makes the target available.
 class instance_tracker {
 public:
     explicit instance_tracker(instance_tracker_settings settings) : m_settings(std::move(settings)) {}
@@ -68,6 +84,13 @@
     /// when not stated.
     bool record_departure(const std::string& id, std::uint64_t incarnation);
 
+    /// Adds the incarnations that were withdrawn before this process started; true when that changes the
+    /// current instance.
+    bool restore(const std::vector<withdrawn_instance>& withdrawn);
+
+    /// The latest withdrawn incarnations, for `restore` after a restart.
+    std::vector<withdrawn_instance> latest_withdrawn() const;
+
     /// The target refused a connection or presented another identity; true when it was reachable before. The
     /// next announcement makes it reachable again.
     bool mark_unreachable();
@@ -82,20 +105,20 @@
         instance_announcement last;
         steady_time last_announced;
         bool reachable = true;
-    };
-
-    struct ended_instance {
-        std::uint64_t incarnation = 0;
-        /// The target departed before this daemon received its incarnation.
-        bool incarnation_unknown = false;
+        bool announced_again = false; ///< A later announcement followed the first.
     };
 
     bool is_outdated(const instance_announcement& announcement);
     bool has_ended(const instance_announcement& announcement);
+    bool is_draining(const instance_announcement& announcement) const;
+    std::vector<withdrawn_instance>::iterator find_withdrawn(const std::string& id);
+    /// The entry of the id, moved behind the others; a new one if there is none.
+    withdrawn_instance& latest_entry(const std::string& id);
 
     instance_tracker_settings m_settings;
     std::optional<tracked_instance> m_current;
-    std::map<std::string, ended_instance> m_ended; ///< By id.
+    std::vector<withdrawn_instance> m_withdrawn; ///< One for each id, the latest last.
+    bool m_history_known = false;
 };
 
 } // namespace boragehollow::admission
--- a/packages/admission/tests/instance_tracker_test.cpp
+++ b/packages/admission/tests/instance_tracker_test.cpp
@@ -15,8 +15,11 @@
     return {std::move(id), address, "desk", 6, state, incarnation, sequence};
 }
 
+/// Tracker of a daemon that knows that nothing was withdrawn before it started.
 instance_tracker make_tracker() {
-    return instance_tracker({"desk", address, 6s});
+    instance_tracker tracker({"desk", address, 6s});
+    tracker.restore({});
+    return tracker;
 }
 
 template <class Result>
@@ -100,5 +103,78 @@
     EXPECT_TRUE(tracker.expire_if_silent(start + 7s));
 }
 
+// Guards against a delayed announcement that brings a departed target back after a restart of the daemon,
+// which held the departure in its memory only.
+TEST(instance_tracker, restored_departure_binds_after_a_restart) {
+    instance_tracker before = make_tracker();
+    before.record_announcement(announcement("a", 10, 1), start);
+    before.record_departure("a", 10);
+
+    instance_tracker restarted({"desk", address, 6s});
+    restarted.restore(before.latest_withdrawn());
+    EXPECT_TRUE(is<announcement_outdated>(restarted.record_announcement(announcement("a", 10, 9), start)));
+    EXPECT_TRUE(is<announcement_accepted>(restarted.record_announcement(announcement("a", 11, 1), start)));
+    EXPECT_TRUE(restarted.current().has_value());
+}
+
+// Guards against a delayed announcement from before the drain that makes a draining target ready again after
+// a restart of the daemon.
+TEST(instance_tracker, restored_drain_binds_after_a_restart) {
+    instance_tracker before = make_tracker();
+    before.record_announcement(announcement("a", 10, 4), start);
+    const auto drained = before.record_announcement(announcement("a", 10, 5, target_state::draining), start);
+    EXPECT_TRUE(std::get<announcement_accepted>(drained).withdrawn);
+
+    instance_tracker restarted({"desk", address, 6s});
+    restarted.restore(before.latest_withdrawn());
+    restarted.record_announcement(announcement("a", 10, 4), start);
+    EXPECT_EQ(restarted.current()->state, target_state::draining);
+}
+
+// Guards against a target that is used in the time between the restart of the daemon and the restoring of
+// what was withdrawn: a single announcement may be a delayed one.
+TEST(instance_tracker, target_needs_a_second_announcement_until_the_history_is_known) {
+    instance_tracker tracker({"desk", address, 6s});
+    tracker.record_announcement(announcement("a", 10, 7), start);
+    EXPECT_FALSE(tracker.current().has_value());
+    tracker.record_announcement(announcement("a", 10, 7), start);
+    EXPECT_FALSE(tracker.current().has_value());
+    const auto second = tracker.record_announcement(announcement("a", 10, 8), start);
+    EXPECT_TRUE(std::get<announcement_accepted>(second).changed);
+    EXPECT_TRUE(tracker.current().has_value());
+    EXPECT_TRUE(tracker.restore({{.id = "a", .incarnation = 10, .ended = true}}));
+    EXPECT_FALSE(tracker.current().has_value());
+
+    instance_tracker told({"desk", address, 6s});
+    told.record_announcement(announcement("a", 10, 7), start);
+    EXPECT_TRUE(told.restore({}));
+    EXPECT_TRUE(told.current().has_value());
+}
+
+// Guards against a restored entry that replaces a later departure of the same id.
+TEST(instance_tracker, restoring_keeps_what_was_withdrawn_since_the_start) {
+    instance_tracker tracker({"desk", address, 6s});
+    tracker.record_departure("a", 20);
+    tracker.restore(
+        {{.id = "a", .incarnation = 10, .ended = true}, {.id = "b", .incarnation = 5, .ended = true}});
+    EXPECT_TRUE(is<announcement_outdated>(tracker.record_announcement(announcement("a", 20, 9), start)));
+    EXPECT_TRUE(is<announcement_outdated>(tracker.record_announcement(announcement("b", 5, 9), start)));
+}
+
+// Guards against a full table that drops the lowest id in place of the oldest one.
+TEST(instance_tracker, full_table_forgets_the_oldest_departure) {
+    instance_tracker tracker = make_tracker();
+    tracker.record_departure("z-oldest", 10);
+    for (int i = 0; i < 255; ++i) {
+        tracker.record_departure("i-" + std::to_string(i), 10);
+    }
+    tracker.record_departure("a-newest", 10);
+    EXPECT_TRUE(is<announcement_outdated>(tracker.record_announcement(announcement("i-0", 10, 9), start)));
+    EXPECT_TRUE(
+        is<announcement_outdated>(tracker.record_announcement(announcement("a-newest", 10, 9), start)));
+    EXPECT_TRUE(
+        is<announcement_accepted>(tracker.record_announcement(announcement("z-oldest", 10, 9), start)));
+}
+
 } // namespace
 } // namespace boragehollow::admission
--- a/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace boragehollow::daemon {
 
@@ -17,6 +18,8 @@
 struct instance_announced {
     admission::instance_announcement announcement;
     common::reply_slot<admission::announcement_result> reply;
+    /// Set when the drain that the announcement reports is saved; at once if it reports none.
+    common::reply_slot<bool> saved;
 };
 
 /// A target announced its shutdown.
@@ -24,20 +27,33 @@
     std::string id;
     std::uint64_t incarnation = 0; ///< 0 when the target did not state it.
     common::reply_slot<bool> reply;
+    common::reply_slot<bool> saved; ///< Set when the departure is saved.
+};
+
+/// The incarnations that were withdrawn before this process started.
+struct history_restored {
+    std::vector<admission::withdrawn_instance> withdrawn;
 };
 
 /// The target refused a connection or identified itself as another instance.
 struct instance_unreachable {};
 
-using instance_message = std::variant<instance_announced, instance_departed, instance_unreachable>;
+using instance_message =
+    std::variant<instance_announced, instance_departed, instance_unreachable, history_restored>;
+
+/// Receivers of the instance duty's decisions.
+struct instance_sinks {
+    std::function<void(std::optional<admission::current_instance>)> changed;
+    /// Saves what was withdrawn, so that it binds after a restart. Must not block; sets the slot when done.
+    std::function<void(std::vector<admission::withdrawn_instance>, common::reply_slot<bool>)> save;
+};
 
 /// Thread that tracks the current instance of the target on this host. An announcement of a drain or a
-/// shutdown is acknowledged only after the change was published.
+/// shutdown is acknowledged only after the change was published, and saved if the platform takes it in time.
 class instance_duty {
 public:
-    instance_duty(admission::instance_tracker_settings settings,
-                  std::function<void(std::optional<admission::current_instance>)> on_changed,
-                  std::size_t ring_size, const telemetry::event_log& events);
+    instance_duty(admission::instance_tracker_settings settings, instance_sinks sinks, std::size_t ring_size,
+                  const telemetry::event_log& events);
     ~instance_duty();
 
     void stop();
@@ -49,10 +65,11 @@
     void handle(instance_announced& message, common::steady_time now);
     void handle(const instance_departed& message, common::steady_time now);
     void handle(const instance_unreachable& message, common::steady_time now);
+    void handle(const history_restored& message, common::steady_time now);
     void publish_current();
 
     admission::instance_tracker m_tracker;
-    std::function<void(std::optional<admission::current_instance>)> m_on_changed;
+    instance_sinks m_sinks;
     const telemetry::event_log& m_events;
     common::bounded_ring<instance_message> m_ring;
     common::duty m_thread;
--- a/packages/daemon/src/instance_duty.cpp
+++ b/packages/daemon/src/instance_duty.cpp
@@ -15,11 +15,10 @@
 
 } // namespace
 
-instance_duty::instance_duty(admission::instance_tracker_settings settings,
-                             std::function<void(std::optional<admission::current_instance>)> on_changed,
+instance_duty::instance_duty(admission::instance_tracker_settings settings, instance_sinks sinks,
                              std::size_t ring_size, const telemetry::event_log& events)
-    : m_tracker(std::move(settings)), m_on_changed(std::move(on_changed)), m_events(events),
-      m_ring(ring_size), m_thread("instance", [this](const std::stop_token&) { run(); }) {}
+    : m_tracker(std::move(settings)), m_sinks(std::move(sinks)), m_events(events), m_ring(ring_size),
+      m_thread("instance", [this](const std::stop_token&) { run(); }) {}
 
 instance_duty::~instance_duty() {
     stop();
@@ -64,6 +63,12 @@
                                                      {"detail", rejected.reason}});
                                   }},
                result);
+    const auto* accepted = std::get_if<admission::announcement_accepted>(&result);
+    if (accepted != nullptr && accepted->withdrawn) {
+        m_sinks.save(m_tracker.latest_withdrawn(), message.saved);
+    } else {
+        message.saved.set(true);
+    }
     message.reply.set(result);
 }
 
@@ -72,9 +77,22 @@
         m_events.emit(event_number::target_left, {{"instance", message.id}, {"reason", "announced"}});
         publish_current();
     }
+    m_sinks.save(m_tracker.latest_withdrawn(), message.saved);
     message.reply.set(true);
 }
 
+void instance_duty::handle(const history_restored& message, common::steady_time) {
+    m_events.emit(event_number::target_history_restored, {{"withdrawn", message.withdrawn.size()}});
+    if (m_tracker.restore(message.withdrawn)) {
+        publish_current();
+    }
+    auto merged = m_tracker.latest_withdrawn();
+    if (merged != message.withdrawn) {
+        // Something was withdrawn and saved before the lookup, which replaced the earlier entries.
+        m_sinks.save(std::move(merged), {});
+    }
+}
+
 void instance_duty::handle(const instance_unreachable&, common::steady_time) {
     if (m_tracker.mark_unreachable()) {
         m_events.emit(event_number::target_left, {{"reason", "unreachable"}});
@@ -92,7 +110,7 @@
                        {"address", common::to_string(current->address)},
                        {"slots", current->slots}});
     }
-    m_on_changed(current);
+    m_sinks.changed(current);
 }
 
 } // namespace boragehollow::daemon
--- a/packages/daemon/src/registry_duty.cpp
+++ b/packages/daemon/src/registry_duty.cpp
@@ -2,18 +2,24 @@
 
 #include "boragehollow/common/overloaded.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <utility>
 
 namespace boragehollow::daemon {
 
 using telemetry::event_number;
 
-registry_duty::registry_duty(registry_access access,
-                             std::function<void(std::vector<common::endpoint>)> on_found,
-                             common::random_source random, const telemetry::event_log& events)
-    : m_access(std::move(access)), m_on_found(std::move(on_found)),
-      m_schedule(random, common::steady_clock::now()), m_events(events),
-      m_thread("registry", [this](const std::stop_token& stop) { run(stop); }) {}
+namespace {
+
+constexpr std::chrono::milliseconds save_retry_interval{1'000};
+
+} // namespace
+
+registry_duty::registry_duty(registry_access access, registry_sinks sinks, common::random_source random,
+                             const telemetry::event_log& events)
+    : m_access(std::move(access)), m_sinks(std::move(sinks)), m_schedule(random, common::steady_clock::now()),
+      m_events(events), m_thread("registry", [this](const std::stop_token& stop) { run(stop); }) {}
 
 registry_duty::~registry_duty() {
     stop();
@@ -21,22 +27,55 @@
 
 void registry_duty::stop() {
     m_thread.request_stop();
-    m_wake.close();
+    m_ring.close();
     m_thread.join();
 }
 
 void registry_duty::run(const std::stop_token& stop) {
     while (!stop.stop_requested()) {
+        if (m_unsaved && common::steady_clock::now() >= m_save_at) {
+            save(stop);
+            continue;
+        }
         const registry_action action = m_schedule.next(m_access.observe(), common::steady_clock::now());
         std::visit(common::overloaded{[&](const look_up_hosts&) { look_up(stop); },
                                       [&](const register_host&) { register_self(stop); },
                                       [&](const wait_before_next& pause) {
-                                          m_wake.pop_until(common::steady_clock::now() + pause.duration);
+                                          wait_until(common::steady_clock::now() + pause.duration);
                                       }},
                    action);
     }
 }
 
+/// Waits for a message, but not beyond the time of the next save.
+void registry_duty::wait_until(common::steady_time end) {
+    auto message = m_ring.pop_until(m_unsaved ? std::min(end, m_save_at) : end);
+    if (!message) {
+        return;
+    }
+    if (m_unsaved) {
+        // The later state contains what the earlier one withdrew.
+        m_unsaved->saved.set(false);
+    }
+    m_unsaved = std::move(*message);
+    m_save_at = common::steady_clock::now();
+}
+
+void registry_duty::save(const std::stop_token& stop) {
+    const auto saved = m_access.save_withdrawn(m_unsaved->withdrawn, stop);
+    if (stop.stop_requested()) {
+        return;
+    }
+    if (!saved) {
+        m_events.emit(event_number::target_history_unsaved, {{"detail", saved.error()}});
+        m_unsaved->saved.set(false);
+        m_save_at = common::steady_clock::now() + save_retry_interval;
+        return;
+    }
+    m_unsaved->saved.set(true);
+    m_unsaved.reset();
+}
+
 void registry_duty::register_self(const std::stop_token& stop) {
     const auto registered = m_access.register_self(stop);
     if (stop.stop_requested()) {
@@ -61,9 +100,12 @@
         m_events.emit(event_number::member_registration_failed, {{"detail", listed.error()}});
         return;
     }
-    m_schedule.lookup_ended(listed->size(), now);
-    m_events.emit(event_number::member_seeds_found, {{"count", listed->size()}});
-    m_on_found(std::move(*listed));
+    m_schedule.lookup_ended(listed->endpoints.size(), now);
+    m_events.emit(event_number::member_seeds_found, {{"count", listed->endpoints.size()}});
+    if (!std::exchange(m_restored, true)) {
+        m_sinks.restored(std::move(listed->withdrawn));
+    }
+    m_sinks.found(std::move(listed->endpoints));
 }
 
 } // namespace boragehollow::daemon
--- a/packages/daemon/tests/registry_duty_test.cpp
+++ b/packages/daemon/tests/registry_duty_test.cpp
@@ -24,15 +24,31 @@
             }
             return {};
         };
-        result.list =
-            [this](const std::stop_token&) -> tl::expected<std::vector<common::endpoint>, std::string> {
+        result.list = [this](const std::stop_token&) -> tl::expected<registry_listing, std::string> {
             ++m_lookups;
-            return std::vector<common::endpoint>{{"127.0.0.1", 1}};
+            return registry_listing{{{"127.0.0.1", 1}}, {{.id = "i-1", .incarnation = 7, .ended = true}}};
+        };
+        result.save_withdrawn = [this](const std::vector<admission::withdrawn_instance>& withdrawn,
+                                       const std::stop_token&) -> tl::expected<void, std::string> {
+            ++m_saves;
+            if (!m_accepts_saves) {
+                return tl::unexpected<std::string>("refused");
+            }
+            m_saved = withdrawn.size();
+            return {};
         };
         result.observe = [this] { return mesh_observation{m_isolated, false}; };
         return result;
     }
 
+    registry_sinks sinks() {
+        return {[](const auto&) {},
+                [this](const auto& withdrawn) {
+                    ++m_restorations;
+                    m_restored = withdrawn.size();
+                }};
+    }
+
     bool eventually(const std::function<bool()>& condition) const {
         const auto end = common::steady_clock::now() + 5s;
         while (!condition() && common::steady_clock::now() < end) {
@@ -45,14 +61,18 @@
     std::atomic<bool> m_isolated{false};
     std::atomic<int> m_registrations{0};
     std::atomic<int> m_lookups{0};
+    std::atomic<bool> m_accepts_saves{true};
+    std::atomic<int> m_saves{0};
+    std::atomic<std::size_t> m_saved{0};
+    std::atomic<int> m_restorations{0};
+    std::atomic<std::size_t> m_restored{0};
     telemetry::event_log m_events;
 };
 
 // Guards against unnecessary platform calls, for which the platform charges, by a daemon that gossip keeps up
 // to date.
 TEST_F(registry_duty_test, a_daemon_that_knows_others_registers_and_looks_up_once) {
-    const registry_duty duty(
-        access(), [](const auto&) {}, common::random_source(1), m_events);
+    const registry_duty duty(access(), sinks(), common::random_source(1), m_events);
     std::this_thread::sleep_for(3s);
     EXPECT_EQ(m_registrations, 1);
     EXPECT_EQ(m_lookups, 1);
@@ -61,8 +81,7 @@
 // Guards against a daemon that stays isolated after others have registered.
 TEST_F(registry_duty_test, an_isolated_daemon_repeats_the_lookup_until_it_finds_others) {
     m_isolated = true;
-    const registry_duty duty(
-        access(), [](const auto&) {}, common::random_source(1), m_events);
+    const registry_duty duty(access(), sinks(), common::random_source(1), m_events);
     ASSERT_TRUE(eventually([this] { return m_lookups >= 2; }));
     m_isolated = false;
     std::this_thread::sleep_for(1600ms);
@@ -74,8 +93,7 @@
 // Guards against a daemon that others cannot find because the platform refused its registration once.
 TEST_F(registry_duty_test, a_refused_registration_is_retried) {
     m_accepts_registrations = false;
-    const registry_duty duty(
-        access(), [](const auto&) {}, common::random_source(1), m_events);
+    const registry_duty duty(access(), sinks(), common::random_source(1), m_events);
     ASSERT_TRUE(eventually([this] { return m_registrations >= 2; }));
     m_accepts_registrations = true;
     const int before = m_registrations;
@@ -84,5 +102,26 @@
     EXPECT_EQ(m_registrations, before + 1);
 }
 
+// Guards against a withdrawn target that is used again after a restart, because the platform refused to save
+// its withdrawal once or because the saved state is not read at the start.
+TEST_F(registry_duty_test, withdrawn_instances_are_saved_and_restored_once) {
+    m_accepts_saves = false;
+    registry_duty duty(access(), sinks(), common::random_source(1), m_events);
+    ASSERT_TRUE(eventually([this] { return m_restorations == 1; }));
+    EXPECT_EQ(m_restored, 1U);
+    const save_withdrawn first{{{.id = "i-1", .incarnation = 8}}, {}};
+    ASSERT_TRUE(duty.ring().try_push(first));
+    EXPECT_EQ(first.saved.wait_until(common::steady_clock::now() + 2s), false);
+    const save_withdrawn second{{{.id = "i-1", .incarnation = 8}, {.id = "i-2", .incarnation = 9}}, {}};
+    ASSERT_TRUE(duty.ring().try_push(second));
+    EXPECT_EQ(second.saved.wait_until(common::steady_clock::now() + 2s), false);
+    m_accepts_saves = true;
+    EXPECT_TRUE(eventually([this] { return m_saved == 2U; }));
+    const int saves = m_saves;
+    std::this_thread::sleep_for(1500ms);
+    EXPECT_EQ(m_saves, saves);
+    EXPECT_EQ(m_restorations, 1);
+}
+
 } // namespace
 } // namespace boragehollow::daemon
--- a/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
@@ -128,6 +128,8 @@
     target_transfer_broken = 1807,
     target_announcement_outdated = 1808,
     target_left = 1809,
+    target_history_restored = 1810,
+    target_history_unsaved = 1811,
 
     operator_change_accepted = 1901,
     operator_change_rejected = 1902,
--- a/packages/telemetry/src/event_catalogue.cpp
+++ b/packages/telemetry/src/event_catalogue.cpp
@@ -193,6 +193,12 @@
      "An announcement of an earlier incarnation, or one that arrived out of order, was ignored."},
     {event::target_left, info, channel::target, "target_left",
      "The target on this host departed, missed its heartbeats or refused a connection."},
+    {event::target_history_restored, info, channel::target, "target_history_restored",
+     "The drains and departures of targets on this host that an earlier process acknowledged were read from "
+     "the "
+     "platform."},
+    {event::target_history_unsaved, warning, channel::target, "target_history_unsaved",
+     "The platform did not save an acknowledged drain or departure; the save is retried."},
     {event::operator_change_accepted, info, channel::operators, "operator_change_accepted",
      "An operator's change was accepted and appended."},
     {event::operator_change_rejected, info, channel::operators, "operator_change_rejected",
--- a/programs/boragehollowd/document_listeners.cpp
+++ b/programs/boragehollowd/document_listeners.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t operator_threads = 3;
 constexpr std::chrono::milliseconds host_read_timeout{4'000};
 
+/// Time for which the acknowledgement of a drain or a departure waits for the platform to save it. A target
+/// waits one second for the acknowledgement, and it has to get one also while the platform is away; the save
+/// is retried then.
+constexpr std::chrono::milliseconds max_save_time{500};
+
 bool ready_for_calls(const document_pipeline::components& daemon) {
     return is_ready({daemon.started, daemon.forwarder->has_configuration(), daemon.forwarder->knows_targets(),
                      daemon.stopping},
@@ -25,18 +30,30 @@
 platform::host_frontend_callbacks make_host_callbacks(document_pipeline::components& daemon) {
     platform::host_frontend_callbacks callbacks;
     callbacks.announce = [&daemon](admission::instance_announcement announcement) {
-        instance_announced message{std::move(announcement), {}};
+        const common::steady_time save_deadline = deadline_after(max_save_time);
+        instance_announced message{std::move(announcement), {}, {}};
         const auto reply = message.reply;
+        const auto saved = message.saved;
         if (!daemon.instance->ring().try_push(instance_message(std::move(message)))) {
             return std::optional<admission::announcement_result>();
         }
-        return reply.wait_until(deadline_after(control_timeout));
+        auto result = reply.wait_until(deadline_after(control_timeout));
+        if (result) {
+            saved.wait_until(save_deadline);
+        }
+        return result;
     };
     callbacks.leave = [&daemon](const std::string& id, std::uint64_t incarnation) {
-        instance_departed message{id, incarnation, {}};
+        const common::steady_time save_deadline = deadline_after(max_save_time);
+        instance_departed message{id, incarnation, {}, {}};
         const auto reply = message.reply;
-        return daemon.instance->ring().try_push(instance_message(std::move(message))) &&
-               reply.wait_until(deadline_after(control_timeout)).value_or(false);
+        const auto saved = message.saved;
+        if (!daemon.instance->ring().try_push(instance_message(std::move(message))) ||
+            !reply.wait_until(deadline_after(control_timeout)).value_or(false)) {
+            return false;
+        }
+        saved.wait_until(save_deadline);
+        return true;
     };
     callbacks.ready = [&daemon] { return ready_for_calls(daemon); };
     callbacks.report_invalid = [&daemon](const std::string& detail) {
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -244,24 +244,35 @@
             [registry, host = settings.identity.host, gossip = daemon.gossip](const std::stop_token& stop) {
                 return registry.register_host(host, gossip, stop);
             },
-            [registry, &events = daemon.events](const std::stop_token& stop) {
-                return registry.list(stop).map([&events](platform::host_listing listing) {
+            [registry, host = settings.identity.host, &events = daemon.events](const std::stop_token& stop) {
+                return registry.list(host, stop).map([&events](platform::host_listing listing) {
                     if (listing.skipped > 0) {
                         events.emit(event_number::member_entries_skipped, {{"count", listing.skipped}});
                     }
-                    return std::move(listing.endpoints);
+                    return registry_listing{std::move(listing.endpoints), std::move(listing.withdrawn)};
                 });
             },
             [&daemon] { return observe_mesh(daemon.mesh.load().get()); }},
-        when_components_ready(daemon,
-                              [&daemon](std::vector<common::endpoint> seeds) {
-                                  daemon.membership->ring().push_until(seeds_found{std::move(seeds)},
-                                                                       deadline_after(control_timeout));
-                              }),
+        registry_sinks{when_components_ready(daemon,
+                                             [&daemon](std::vector<common::endpoint> seeds) {
+                                                 daemon.membership->ring().push_until(
+                                                     seeds_found{std::move(seeds)},
+                                                     deadline_after(control_timeout));
+                                             }),
+                       when_components_ready(daemon,
+                                             [&daemon](std::vector<admission::withdrawn_instance> withdrawn) {
+                                                 daemon.instance->ring().push_until(
+                                                     history_restored{std::move(withdrawn)},
+                                                     deadline_after(control_timeout));
+                                             })},
         common::random_source::from_system(), daemon.events);
 }
 
 membership::target_announcement announcement_of(const std::optional<admission::current_instance>& instance) {
+            [registry, host = settings.identity.host](
+                const std::vector<admission::withdrawn_instance>& withdrawn, const std::stop_token& stop) {
+                return registry.save_withdrawn(host, withdrawn, stop);
+            },
     membership::target_announcement announced;
     if (!instance) {
         announced.state = membership::target_state::gone;
@@ -281,25 +292,28 @@
     tracker_settings.service = settings.target.service.value_or("");
     tracker_settings.address = settings.target.address;
     tracker_settings.silence_timeout = settings.timing.heartbeat * settings.timing.missed_heartbeats;
-    daemon.instance = std::make_unique<instance_duty>(
-        std::move(tracker_settings),
-        when_components_ready(
-            daemon,
-            [&daemon](const std::optional<admission::current_instance>& instance) {
-                std::optional<forwarding::target_instance> local;
-                if (instance) {
-                    local = forwarding::target_instance{instance->id, instance->address, instance->service,
-                                                        instance->slots, instance->state};
-                }
-                daemon.forwarder->post(forwarding::local_instance_changed{std::move(local)});
-                membership::target_announcement announced = announcement_of(instance);
-                if (daemon.leaving) {
-                    announced.state = membership::target_state::draining;
-                }
-                daemon.membership->ring().push_until(local_announcement_changed{std::move(announced)},
-                                                     deadline_after(control_timeout));
-            }),
-        instance_ring_size, daemon.events);
+    instance_sinks sinks;
+    sinks.changed =
+        when_components_ready(daemon, [&daemon](const std::optional<admission::current_instance>& instance) {
+            std::optional<forwarding::target_instance> local;
+            if (instance) {
+                local = forwarding::target_instance{instance->id, instance->address, instance->service,
+                                                    instance->slots, instance->state};
+            }
+            daemon.forwarder->post(forwarding::local_instance_changed{std::move(local)});
+            membership::target_announcement announced = announcement_of(instance);
+            if (daemon.leaving) {
+                announced.state = membership::target_state::draining;
+            }
+            daemon.membership->ring().push_until(local_announcement_changed{std::move(announced)},
+                                                 deadline_after(control_timeout));
+        });
+    sinks.save = when_components_ready(daemon, [&daemon](std::vector<admission::withdrawn_instance> withdrawn,
+                                                         const common::reply_slot<bool>& saved) {
+        daemon.registry->ring().push_newest(save_withdrawn{std::move(withdrawn), saved});
+    });
+    daemon.instance = std::make_unique<instance_duty>(std::move(tracker_settings), std::move(sinks),
+                                                      instance_ring_size, daemon.events);
 }
 
 /// Handles control requests of other daemons. Called on the forwarder's thread, so it must not block.
