Spread the long polls of the log readers

Cause: a long poll that meets a silent store hears nothing until it ends, 7 s later at most, and each version ends the polls of all readers at once, so that they begin and hang together.

Change: daemon::poll_schedule shortens the first poll after a version by the reader's position among all readers, and lets the waits grow with the number of readers. The time of a poll that failed counts as part of the pause after it.

--- a/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
+++ b/packages/daemon/include/boragehollow/daemon/mesh_view.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "boragehollow/daemon/poll_schedule.hpp"
 #include "boragehollow/membership/member.hpp"
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,8 @@
 
     /// Log readers of a failure domain in order of preference.
     std::vector<std::string> readers(const std::string& failure_domain) const;
+    /// Position of this host among the log readers of all failure domains; empty if it is none of them.
+    std::optional<reader_position> own_reader_position() const;
     /// The log reader that appends snapshots for the whole mesh; empty when there is none.
     std::string compactor() const;
 
--- /dev/null
+++ b/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+namespace boragehollow::daemon {
+
+/// Position of a daemon among those that read the platform continuously, over all failure domains.
+struct reader_position {
+    std::size_t index = 0;
+    std::size_t readers = 1;
+
+    bool operator==(const reader_position&) const = default;
+};
+
+struct poll_schedule_settings {
+    /// Time between the ends of the polls of two neighbouring readers.
+    std::chrono::milliseconds slot{800};
+    std::chrono::milliseconds min_wait{1'500};
+    /// Limits what a few readers that are left alone miss.
+    std::chrono::milliseconds max_wait{6'000};
+};
+
+/// Decides how long the long polls of one reader wait, so that the readers cover one another.
+///
+/// A poll that meets a platform which does not respond, or whose connection fails silently, hears nothing
+/// until it ends, also when the platform responds to others again. A version ends the polls of all readers at
+/// once; with equal waits they would then hang together for a whole wait. Each reader therefore shortens its
+/// first poll after a version by its position, so that there is always one whose next poll begins soon. The
+/// waits grow with the number of readers, so that the rate of calls does not.
+class poll_schedule {
+public:
+    explicit poll_schedule(poll_schedule_settings settings) : m_settings(settings) {}
+
+    void set_position(reader_position position) { m_position = position; }
+
+    /// The polls of all readers have ended together.
+    void version_received() { m_first_poll = true; }
+
+    /// Wait of the next poll.
+    std::chrono::milliseconds next_wait();
+
+private:
+    poll_schedule_settings m_settings;
+    reader_position m_position;
+    bool m_first_poll = true;
+};
+
+} // namespace boragehollow::daemon
--- a/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
@@ -3,6 +3,7 @@
 #include "boragehollow/common/bounded_ring.hpp"
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/random_source.hpp"
+#include "boragehollow/daemon/poll_schedule.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
 #include <tl/expected.hpp>
@@ -21,16 +22,27 @@
 using document_read =
     std::function<tl::expected<std::optional<std::string>, std::string>(const std::stop_token&)>;
 
+/// Reads the next configuration document and waits up to `wait` if there is none yet. A read that gets no
+/// response fails some time after `wait`.
+using document_poll = std::function<tl::expected<std::optional<std::string>, std::string>(
+    std::chrono::milliseconds wait, const std::stop_token&)>;
+
 struct document_access {
     document_read newest; ///< Returns at once.
-    document_read next;   ///< Long poll for a document after the last one that was read.
+    document_poll next;   ///< For documents after the last one that was read.
 };
 
 /// This daemon reads the platform's configuration continuously; only a few daemons of a failure domain do.
-struct continuous_reading {};
+struct continuous_reading {
+    reader_position position;
+
+    bool operator==(const continuous_reading&) const = default;
+};
 
 /// Other daemons read the configuration and distribute it; this one reads only on request.
-struct reading_on_demand {};
+struct reading_on_demand {
+    bool operator==(const reading_on_demand&) const = default;
+};
 
 using reading_mode = std::variant<continuous_reading, reading_on_demand>;
 
@@ -51,6 +63,7 @@
     std::chrono::milliseconds first_document_interval{2'500};
     /// Delay after a document, so that a burst of versions costs one read instead of one for each version.
     std::chrono::milliseconds pause_after_document{350};
+    poll_schedule_settings polls;
     std::chrono::milliseconds min_backoff{150};
     std::chrono::milliseconds max_backoff{1'200};
 };
@@ -74,7 +87,8 @@
     void await_message();
     void read(const std::stop_token& stop);
     void apply(const state_source_message& message);
-    std::chrono::milliseconds handle_read_error(const std::string& detail);
+    /// Returns the remaining pause before the next read.
+    std::chrono::milliseconds handle_read_error(const std::string& detail, common::steady_time started);
     void wait(std::chrono::milliseconds pause);
 
     state_source_settings m_settings;
@@ -84,6 +98,7 @@
     const telemetry::event_log& m_events;
     std::chrono::milliseconds m_backoff;
     bool m_reachable = true;
+    poll_schedule m_polls;
     std::optional<reading_mode> m_mode;
     common::steady_time m_mode_deadline;
     common::steady_time m_next_unrequested_read;
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -14,7 +14,7 @@
                                      std::function<void(std::string)> on_document,
                                      common::random_source random, const telemetry::event_log& events)
     : m_settings(settings), m_access(std::move(access)), m_on_document(std::move(on_document)),
-      m_random(random), m_events(events), m_backoff(settings.min_backoff),
+      m_random(random), m_events(events), m_backoff(settings.min_backoff), m_polls(settings.polls),
       m_mode_deadline(common::steady_clock::now() + settings.max_wait_for_mode),
       m_next_unrequested_read(m_mode_deadline + random.jitter(settings.first_document_interval)),
       m_thread("state_source", [this](const std::stop_token& stop) { run(stop); }) {}
@@ -64,12 +64,14 @@
 }
 
 void state_source_duty::read(const std::stop_token& stop) {
-    auto document = follows() && m_positioned ? m_access.next(stop) : m_access.newest(stop);
+    const common::steady_time started = common::steady_clock::now();
+    auto document =
+        follows() && m_positioned ? m_access.next(m_polls.next_wait(), stop) : m_access.newest(stop);
     if (stop.stop_requested()) {
         return;
     }
     if (!document) {
-        wait(handle_read_error(document.error()));
+        wait(handle_read_error(document.error(), started));
         return;
     }
     m_backoff = m_settings.min_backoff;
@@ -82,6 +84,7 @@
         return;
     }
     m_has_configuration = true;
+    m_polls.version_received();
     m_on_document(std::move(**document));
     wait(m_settings.pause_after_document);
 }
@@ -90,20 +93,25 @@
     std::visit(common::overloaded{[&](const reading_mode& mode) {
                                       m_positioned = m_positioned && follows();
                                       m_mode = mode;
+                                      if (const auto* reading = std::get_if<continuous_reading>(&mode)) {
+                                          m_polls.set_position(reading->position);
+                                      }
                                   },
                                   [&](const read_now&) { m_read_requested = true; },
                                   [&](const configuration_present&) { m_has_configuration = true; }},
                message);
 }
 
-milliseconds state_source_duty::handle_read_error(const std::string& detail) {
+milliseconds state_source_duty::handle_read_error(const std::string& detail, common::steady_time started) {
     if (std::exchange(m_reachable, false)) {
         m_events.emit(event_number::log_unreachable, {{"detail", detail}});
     }
     const milliseconds pause =
         m_backoff / 2 + std::chrono::duration_cast<milliseconds>(m_random.jitter(m_backoff));
     m_backoff = std::min(m_settings.max_backoff, m_backoff * 2);
-    return pause;
+    // The time that the failed read took counts as part of the pause.
+    const auto taken = std::chrono::duration_cast<milliseconds>(common::steady_clock::now() - started);
+    return std::max(milliseconds::zero(), pause - taken);
 }
 
 void state_source_duty::wait(milliseconds pause) {
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -110,7 +110,9 @@
     daemon.state_source = std::make_unique<state_source_duty>(
         state_source_settings{},
         document_access{[reader](const std::stop_token& stop) { return reader->newest(stop); },
-                        [reader](const std::stop_token& stop) { return reader->poll(stop); }},
+                        [reader](std::chrono::milliseconds wait, const std::stop_token& stop) {
+                            return reader->poll(wait, stop);
+                        }},
         [&daemon](std::string document) {
             daemon.state->ring().push_until(document_received{std::move(document)},
                                             deadline_after(control_timeout));
@@ -123,6 +125,11 @@
     return std::find(readers.begin(), readers.end(), mesh.own_host) != readers.end();
 }
 
+reading_mode reading_mode_of(const mesh_view& mesh) {
+    const auto position = mesh.own_reader_position();
+    return position ? reading_mode(continuous_reading{*position}) : reading_mode(reading_on_demand{});
+}
+
 mesh_observation observe_mesh(const mesh_view* mesh) {
     const bool isolated = mesh == nullptr || mesh->count(membership::member_state::alive) <= 1;
     // A daemon that knows no other one would take every role of its failure domain.
@@ -136,15 +143,18 @@
         // A daemon that knows few others would take roles that others have.
         return;
     }
-    const bool follows = follows_platform(mesh);
-    if (daemon.follows_platform == follows) {
+    const reading_mode mode = reading_mode_of(mesh);
+    if (daemon.reading == mode) {
         return;
     }
-    daemon.follows_platform = follows;
-    const reading_mode mode =
-        follows ? reading_mode(continuous_reading{}) : reading_mode(reading_on_demand{});
-    daemon.events.emit(follows ? event_number::log_reader_started : event_number::log_reader_stopped);
+    const bool follows = std::holds_alternative<continuous_reading>(mode);
+    const bool role_changed = !daemon.reading || daemon.reading->index() != mode.index();
+    daemon.reading = mode;
     daemon.state_source->ring().push_newest(mode);
+    if (!role_changed) {
+        return;
+    }
+    daemon.events.emit(follows ? event_number::log_reader_started : event_number::log_reader_stopped);
     daemon.state->ring().push_newest(reading_mode_changed{mode});
 }
 
@@ -252,6 +262,10 @@
                     return registry_listing{std::move(listing.endpoints), std::move(listing.withdrawn)};
                 });
             },
+            [registry, host = settings.identity.host](
+                const std::vector<admission::withdrawn_instance>& withdrawn, const std::stop_token& stop) {
+                return registry.save_withdrawn(host, withdrawn, stop);
+            },
             [&daemon] { return observe_mesh(daemon.mesh.load().get()); }},
         registry_sinks{when_components_ready(daemon,
                                              [&daemon](std::vector<common::endpoint> seeds) {
@@ -269,10 +283,6 @@
 }
 
 membership::target_announcement announcement_of(const std::optional<admission::current_instance>& instance) {
-            [registry, host = settings.identity.host](
-                const std::vector<admission::withdrawn_instance>& withdrawn, const std::stop_token& stop) {
-                return registry.save_withdrawn(host, withdrawn, stop);
-            },
     membership::target_announcement announced;
     if (!instance) {
         announced.state = membership::target_state::gone;
--- a/programs/boragehollowd/document_pipeline_components.hpp
+++ b/programs/boragehollowd/document_pipeline_components.hpp
@@ -57,9 +57,9 @@
         directory;                           ///< Accessed only by the membership thread.
     common::endpoint gossip;                 ///< Bound address.
     std::map<std::string, known_peer> hosts; ///< Accessed only by the membership thread.
-    /// Whether this daemon reads the platform continuously; empty before the first view of the mesh. Accessed
-    /// only by the membership thread.
-    std::optional<bool> follows_platform;
+    /// How this daemon reads the platform; empty before the first view of the mesh. Accessed only by the
+    /// membership thread.
+    std::optional<reading_mode> reading;
 
     // Duties.
     std::unique_ptr<watch_duty> watch;
