Take a misdirected request for refused also without an id

The stand-in of the platform's upstream answers 421 without an id and without the header that says "not run"; such a response was dropped, so that its call waited for its deadline. The response has to be the first on its connection, as other refusals without an id.

--- a/packages/forwarding/src/local_target.cpp
+++ b/packages/forwarding/src/local_target.cpp
@@ -163,7 +163,8 @@
         if (view_of(response_id) == id) {
             return response_match::own;
         }
-        const bool first_refusal = response_id.empty() && first_on_connection && is_refusal(response);
+        const bool refusal = is_refusal(response) || response.result_int() == misdirected_request_status;
+        const bool first_refusal = response_id.empty() && first_on_connection && refusal;
         return first_refusal ? response_match::unidentified : response_match::foreign;
     };
     const common::endpoint address = m_instance->address;
