Add a soak of the configuration path with real processes

config_soak.py runs 13 daemons in three failure domains as separate processes, changes the configuration in series and injects overlapping faults from outside: kills, herds, rolling stops, freezes, SIGHUP, and a proxy between each daemon and the store that silences, resets or loses answers. It checks from what callers see that a version is in force in time on each daemon in touch and never goes back.

--- /dev/null
+++ b/tools/soak/config_soak.py
@@ -0,0 +1,353 @@
+#!/usr/bin/env python3
+"""Soak of the configuration path: real daemons, changes in series beside faults, seeded.
+
+Checks, from what callers see, that a version is in force on each daemon in touch 2 s after its acknowledgement, and
+that a daemon never goes back to an older one. Faults come from outside the processes: signals, and loopback proxies
+between each daemon and the store. Several overlap, and the seed decides them.
+"""
+
+import argparse
+import asyncio
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+REPOSITORY = pathlib.Path(__file__).resolve().parents[2]
+# The stand-ins of the review's scripts; there is no second copy of them.
+sys.path.insert(0, str(REPOSITORY / "review/standins"))
+
+import mesh as m  # noqa: E402
+
+ZONES = {"a": 5, "b": 4, "c": 4}
+IN_FORCE_S = 2.0  # The users' bound `config`.
+STABILITY_S = 3.0  # A daemon or the store counts as in touch this long after its last fault.
+ROLLBACK_S = 0.25  # The users' bound `rollbackSlack`.
+STRETCH_S = 5.0  # The users' bound `skewMax`: an unstable store may delay a version by this.
+GRACE_S = 6.0
+PROBE_INTERVAL_S = 0.1
+# A probe that was slower than this may have waited in this program; it says nothing about the daemon.
+MAX_PROBE_S = 0.5
+FAULTS = ("kill", "herd", "roll", "freeze", "hup", "store", "links", "silent connections")
+
+
+class StoreLink(m.Server):
+    """Proxy between one daemon and the store, which can be silenced, refused, or cut in one direction."""
+
+    def __init__(self, store):
+        super().__init__()
+        self.store = store
+        self.mode = "open"
+        self._generation = 0  # Connections of an earlier generation carry nothing more.
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        if self.mode == "silent":
+            await reader.read()
+            return
+        up_reader, up_writer = await asyncio.open_connection("127.0.0.1", self.store.port, limit=2**27)
+        try:
+            await asyncio.gather(self._copy(reader, up_writer, self._generation, loses_answers=False),
+                                 self._copy(up_reader, writer, self._generation, loses_answers=True))
+        except ConnectionError:
+            pass
+        finally:
+            up_writer.close()
+
+    async def _copy(self, reader, writer, generation, loses_answers):
+        while data := await reader.read(65536):
+            lost = self.mode == "silent" or (self.mode == "lose answers" and loses_answers)
+            if lost or generation != self._generation:
+                continue
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    def silence_open_connections(self):
+        """Open connections carry nothing more, without a reset; new ones work."""
+        self._generation += 1
+
+
+class SoakDaemon(m.Daemon):
+    def __init__(self, mesh, name, zone, upstream, link):
+        self.link = link
+        self.last_fault = 0.0
+        self.down = False
+        self.restarting = False
+        self.seen = 0  # The newest version of which an effect was seen in this process.
+        self.seen_at = 0.0
+        self.sequence = 0  # Grows with each process.
+        super().__init__(mesh, name, zone, upstream)
+
+    def configure(self):
+        super().configure()
+        text = self._settings.read_text(encoding="utf-8")
+        text = text.replace(f"127.0.0.1:{self._mesh.store.port}", f"127.0.0.1:{self.link.port}")
+        self._settings.write_text(text, encoding="utf-8")
+
+    def start(self):
+        self.sequence += 1
+        self.seen = 0
+        self.down = False
+        self.restarting = False
+        super().start()
+
+    def reads_the_store(self):
+        """True while this daemon is a log reader, from its log."""
+        log = (self._mesh.folder / f"{self.name}.log").read_text(encoding="utf-8", errors="replace")
+        return log.rfind("log_reader_started") > max(log.rfind("log_reader_stopped"), log.rfind("daemon_starting"))
+
+
+class Soak:
+    def __init__(self, record, program, seed, seconds, faults):
+        self.record = record
+        self.program = program
+        self.faults = faults
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.mesh = None
+        self.acknowledged = []  # (version, time), in order
+        self.sent = 0
+        self.store_fault_end = -100.0
+        self.store_faults = 0
+        self.violations = []
+        self.probes = 0
+        self.judged = 0
+
+    # The operator.
+
+    def document(self, version, routes=0):
+        """Version N has the routes /nN/ and /n(N-1)/."""
+        table = {"safe": m.route("/safe/", "safe", "desk")}
+        for number in (version, version - 1):
+            table[f"n{number}"] = m.route(f"/n{number}/", "safe", "desk")
+        for number in range(routes):
+            table[f"big{number}"] = m.route(f"/big{number}-{version}/", "safe", "desk")
+        return m.config(version, table, ["desk"])
+
+    def change(self, routes=0):
+        version = self.sent + 1
+        self.sent = version
+        self.mesh.store.put_config(self.document(version, routes))
+        self.acknowledged.append((version, self.record.now()))
+
+    async def operate(self):
+        while True:
+            kind = self.random.choices(("one", "storm", "big", "invalid"), (6, 2, 1, 1))[0]
+            if kind == "storm":
+                for _ in range(self.random.randrange(4, 12)):
+                    self.change()
+                    await asyncio.sleep(self.random.uniform(0.05, 0.4))
+            elif kind == "big":
+                self.change(routes=350)
+            elif kind == "invalid":
+                self.mesh.store.put("keyed.op", "config", b'{"version":"0fffffff","routes":{"x":{}}')
+            else:
+                self.change()
+            await asyncio.sleep(self.random.uniform(0.3, 3.0))
+
+    # The faults. Each leaves the mesh as it found it.
+
+    def disturb_store(self, lasting):
+        self.store_fault_end = max(self.store_fault_end, self.record.now() + lasting)
+
+    async def restart(self, daemon, number, down_s):
+        if daemon.restarting:
+            return
+        daemon.restarting = True
+        daemon.last_fault = self.record.now() + GRACE_S
+        daemon.signal(number)
+        await daemon.ended(GRACE_S)
+        daemon.down = True
+        await asyncio.sleep(down_s)
+        daemon.start()
+        daemon.last_fault = self.record.now()
+        daemon.restarting = False
+
+    async def freeze(self, daemon, lasting):
+        if daemon.restarting:
+            return
+        daemon.last_fault = max(daemon.last_fault, self.record.now() + lasting)
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(lasting)
+        if daemon.process.poll() is None:
+            daemon.signal(signal.SIGCONT)
+        daemon.last_fault = max(daemon.last_fault, self.record.now())
+
+    async def cut_store_links(self, daemons, mode, lasting):
+        self.record.add(f"store links of {[daemon.name for daemon in daemons]}: {mode}")
+        for daemon in daemons:
+            daemon.link.mode = mode
+            daemon.link.silence_open_connections()
+            daemon.last_fault = max(daemon.last_fault, self.record.now() + lasting)
+        await asyncio.sleep(lasting)
+        self.record.add(f"store links of {[daemon.name for daemon in daemons]}: open")
+        for daemon in daemons:
+            daemon.link.mode = "open"
+
+    async def fault(self):
+        pick, daemons = self.random, self.mesh.daemons
+        kind = pick.choice(self.faults)
+        self.record.add(f"fault: {kind}")
+        if kind == "kill":
+            await self.restart(pick.choice(daemons), signal.SIGKILL, pick.uniform(0.3, 3.5))
+        elif kind == "herd":
+            share = pick.sample(daemons, pick.randrange(2, len(daemons) // 2 + 2))
+            down_s = pick.uniform(0.5, 2.0)
+            await asyncio.gather(*(self.restart(daemon, signal.SIGKILL, down_s) for daemon in share))
+        elif kind == "readers":
+            readers = [daemon for daemon in daemons if daemon.reads_the_store()]
+            await asyncio.gather(*(self.restart(daemon, signal.SIGKILL, 6.0) for daemon in readers))
+        elif kind == "roll":
+            stops = []
+            for daemon in pick.sample(daemons, pick.randrange(3, 7)):
+                stops.append(asyncio.ensure_future(self.restart(daemon, signal.SIGTERM, pick.uniform(0.2, 1.0))))
+                await asyncio.sleep(pick.uniform(0.5, 2.0))
+            await asyncio.gather(*stops)
+        elif kind == "freeze":
+            chosen = pick.sample(daemons, pick.randrange(1, 3))
+            await asyncio.gather(*(self.freeze(daemon, pick.uniform(0.5, 4.0)) for daemon in chosen))
+        elif kind == "hup":
+            for daemon in pick.sample(daemons, 3):
+                if not daemon.down:
+                    daemon.signal(signal.SIGHUP)
+        elif kind == "store":
+            lasting = pick.uniform(1.0, 8.0)
+            self.disturb_store(lasting)
+            await self.cut_store_links(daemons, pick.choice(("silent", "reset", "lose answers")), lasting)
+            self.disturb_store(0.0)
+        elif kind == "links":
+            chosen = pick.sample(daemons, pick.randrange(1, 5))
+            await self.cut_store_links(chosen, pick.choice(("silent", "reset", "lose answers")),
+                                       pick.uniform(1.0, 9.0))
+        else:
+            for daemon in daemons:
+                daemon.link.silence_open_connections()
+                daemon.last_fault = self.record.now()
+            self.record.add("all open connections to the store are silent")
+
+    async def disturb(self):
+        running = set()
+        while True:
+            await asyncio.sleep(self.random.uniform(0.3, 5.0))
+            running = {task for task in running if not task.done()}
+            if len(running) < 2:
+                running.add(self.mesh.spawn(self.fault()))
+
+    # The judge.
+
+    def in_touch(self, daemon, since):
+        return not daemon.down and daemon.last_fault + STABILITY_S < since
+
+    def newest_in_force(self, sent, daemon):
+        """The newest version that has to be in force on the daemon for a request sent at this time."""
+        now_stable = self.store_fault_end + STABILITY_S < sent
+        bound = IN_FORCE_S if now_stable else IN_FORCE_S + STRETCH_S
+        versions = [version for version, at in self.acknowledged if at + bound < sent]
+        return versions[-1] if versions else 0
+
+    async def probe(self, daemon):
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S * self.random.uniform(0.5, 1.5))
+            sent, process = self.record.now(), daemon.sequence
+            stable = self.store_fault_end + STABILITY_S < sent
+            required = self.newest_in_force(sent, daemon)
+            if required < 4 or daemon.down:
+                continue
+            for number, expect_route in ((required, True), (required - 2, False), (daemon.seen, True)):
+                await self.probe_route(daemon, process, number, expect_route, required, stable)
+
+    async def probe_route(self, daemon, process, number, expect_route, required, stable):
+        if number <= 0:
+            return
+        sent = self.record.now()
+        seen, seen_at = daemon.seen, daemon.seen_at
+        try:
+            answer = await asyncio.wait_for(
+                m.request(daemon.outbound, "GET", f"/n{number}/x",
+                          m.client_headers(f"{daemon.name}-{sent:.4f}-{number}", 1000)), 1.5)
+        except (OSError, asyncio.TimeoutError, TimeoutError):
+            return
+        self.probes += 1
+        if answer is None or answer.status not in (200, 404) or process != daemon.sequence:
+            return
+        found = answer.status == 200
+        if found and number > daemon.seen:
+            daemon.seen, daemon.seen_at = number, self.record.now()
+        if self.record.now() - sent > MAX_PROBE_S:
+            return
+        gone_legitimately = self.sent >= number + 2
+        if number == seen and expect_route and not found and not gone_legitimately:
+            if sent > seen_at + ROLLBACK_S:
+                self.violate(daemon, f"went back behind version {seen}")
+            return
+        if not stable or not self.in_touch(daemon, sent):
+            return
+        self.judged += 1
+        if expect_route and number == required and not found and not gone_legitimately:
+            self.violate(daemon, f"no route of version {number}, which was acknowledged")
+        if not expect_route and found:
+            self.violate(daemon, f"serves a route that version {required} dropped")
+
+    def violate(self, daemon, text):
+        acknowledged = [f"{version}@{at:.2f}" for version, at in self.acknowledged[-4:]]
+        line = f"VIOLATION {daemon.name}: {text}; acknowledged {acknowledged}"
+        self.violations.append(f"{self.record.now():8.3f} {line}")
+        self.record.add(line)
+
+    async def run(self):
+        mesh = m.Mesh(self.record)
+        mesh.role["run"] = " ".join([str(self.program)] + mesh.role["run"].split(" ")[1:])
+        async with mesh:
+            self.mesh = mesh
+            for zone, hosts in ZONES.items():
+                for number in range(hosts):
+                    upstream = m.Upstream(self.record, f"desk-{zone}{number}", "desk", work_s=0.005)
+                    upstream.count_run = lambda message: message[1].get("boragehollow-request-id", "")
+                    await upstream.start()
+                    link = StoreLink(mesh.store)
+                    await link.start()
+                    daemon = SoakDaemon(mesh, f"host-{zone}{number}", zone, upstream, link)
+                    mesh.daemons.append(daemon)
+                    daemon.start()
+                    mesh.spawn(upstream.keep_beating())
+            for _ in range(4):
+                self.change()
+            await mesh.wait_until_serving(timeout=40.0)
+            tasks = [mesh.spawn(self.operate()), mesh.spawn(self.disturb())]
+            tasks += [mesh.spawn(self.probe(daemon)) for daemon in mesh.daemons]
+            done, _ = await asyncio.wait(tasks, timeout=self.seconds, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+            for daemon in mesh.daemons:
+                if not daemon.restarting and daemon.process.poll() is not None:
+                    self.violations.append(f"{daemon.name} ended by itself, status {daemon.process.returncode}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--program", default="target/programs/boragehollowd/boragehollowd")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    parser.add_argument("--faults", default=",".join(FAULTS), help="kinds of faults; also: readers")
+    parser.add_argument("--logs", default=tempfile.gettempdir(),
+                        help="folder of the record; KEEP_LOGS=1 keeps the daemons' logs")
+    options = parser.parse_args()
+    folder = pathlib.Path(options.logs) / f"config-soak-{options.seed}-{os.getpid()}"
+    folder.mkdir(parents=True)
+    soak = Soak(m.Record(folder), (REPOSITORY / options.program).resolve(), options.seed, options.seconds,
+                options.faults.split(","))
+    asyncio.run(soak.run())
+    for line in soak.violations[:20]:
+        print(line)
+    print(f"seed {options.seed}: {soak.sent} versions, {soak.probes} probes, {soak.judged} judged, "
+          f"{len(soak.violations)} violations; record in {folder}")
+    sys.exit(1 if soak.violations else 0)
+
+
+if __name__ == "__main__":
+    main()
