Let log readers fetch at once while the platform does not respond to them

Change: a reader to which the platform does not respond fetches as soon as others do. The stagger is 0.6 s for each reader: some reader polls within 2.4 s also if one is absent (2.5 s before). state_source_duty reports the platform's state to state_duty.

--- a/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
+++ b/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
@@ -15,9 +15,10 @@
 
 struct poll_schedule_settings {
     /// Time between the ends of the polls of two neighbouring readers.
-    std::chrono::milliseconds slot{800};
+    std::chrono::milliseconds slot{600};
+    /// Wait where no other reader covers this one. Shorter waits make more calls, which are charged for.
     std::chrono::milliseconds min_wait{1'500};
-    /// Limits what a few readers that are left alone miss.
+    /// Longest wait, after which a reader hears of new versions again even if all others have failed.
     std::chrono::milliseconds max_wait{6'000};
 };
 
--- a/packages/daemon/include/boragehollow/daemon/state_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_duty.hpp
@@ -43,8 +43,13 @@
     reading_mode mode;
 };
 
-using state_message =
-    std::variant<document_received, peer_document_received, newer_version_observed, reading_mode_changed>;
+/// Whether the platform responds to this daemon.
+struct platform_reachability {
+    bool reachable = true;
+};
+
+using state_message = std::variant<document_received, peer_document_received, newer_version_observed,
+                                   reading_mode_changed, platform_reachability>;
 
 /// Document of the active version, in the form in which other daemons receive it.
 struct active_document {
@@ -67,8 +72,8 @@
 };
 
 /// Thread that activates configuration documents, but only complete, valid and newer ones. It fetches a newer
-/// version from a daemon that reports it: at once if this daemon does not read the platform continuously,
-/// otherwise after a delay, so that the daemon still converges when the platform refuses its reads.
+/// version from a daemon that reports it: at once if this daemon does not read the platform continuously or
+/// the platform does not respond to it, otherwise after a delay.
 class state_duty {
 public:
     state_duty(document_decoding decode, state_sinks sinks, std::size_t ring_size,
@@ -86,6 +91,7 @@
     void handle(const peer_document_received& message, common::steady_time now);
     void handle(const newer_version_observed& message, common::steady_time now);
     void handle(const reading_mode_changed& message, common::steady_time now);
+    void handle(const platform_reachability& message, common::steady_time now);
     std::chrono::milliseconds fetch_delay();
     /// Activates the document if it is valid and newer; true when it did.
     bool activate(const std::string& document);
@@ -96,6 +102,7 @@
     const telemetry::event_log& m_events;
     common::random_source m_random;
     reading_mode m_mode = continuous_reading{};
+    bool m_platform_reachable = true;
     common::revision m_version;
     std::shared_ptr<const config::config_snapshot> m_snapshot; ///< Active one.
     common::shared_snapshot<active_document> m_document;
--- a/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
@@ -54,6 +54,11 @@
 
 using state_source_message = std::variant<reading_mode, read_now, configuration_present>;
 
+struct state_source_sinks {
+    std::function<void(std::string)> document;
+    std::function<void(bool)> reachable; ///< Called when the platform stops or starts responding.
+};
+
 struct state_source_settings {
     /// Time for other daemons to tell this one its reading mode. A daemon that hears of no other one by then
     /// reads continuously.
@@ -71,9 +76,8 @@
 /// Thread that reads configuration documents from the platform at a bounded rate.
 class state_source_duty {
 public:
-    state_source_duty(state_source_settings settings, document_access access,
-                      std::function<void(std::string)> on_document, common::random_source random,
-                      const telemetry::event_log& events);
+    state_source_duty(state_source_settings settings, document_access access, state_source_sinks sinks,
+                      common::random_source random, const telemetry::event_log& events);
     ~state_source_duty();
 
     void stop();
@@ -93,7 +97,7 @@
 
     state_source_settings m_settings;
     document_access m_access;
-    std::function<void(std::string)> m_on_document;
+    state_source_sinks m_sinks;
     common::random_source m_random;
     const telemetry::event_log& m_events;
     std::chrono::milliseconds m_backoff;
--- a/packages/daemon/src/state_duty.cpp
+++ b/packages/daemon/src/state_duty.cpp
@@ -145,17 +145,20 @@
     m_mode = message.mode;
 }
 
+void state_duty::handle(const platform_reachability& message, common::steady_time) {
+    m_platform_reachable = message.reachable;
+}
+
 milliseconds state_duty::fetch_delay() {
     // A daemon without a configuration cannot serve calls, so it fetches at once.
     if (m_version.value == 0) {
         return milliseconds::zero();
     }
-    return std::visit(common::overloaded{[](const continuous_reading&) { return follower_fetch_delay; },
-                                         [this](const reading_on_demand&) {
-                                             return std::chrono::duration_cast<milliseconds>(
-                                                 m_random.jitter(max_request_jitter));
-                                         }},
-                      m_mode);
+    const bool platform_may_deliver =
+        std::holds_alternative<continuous_reading>(m_mode) && m_platform_reachable;
+    return platform_may_deliver
+               ? follower_fetch_delay
+               : std::chrono::duration_cast<milliseconds>(m_random.jitter(max_request_jitter));
 }
 
 void state_duty::fetch_if_due(common::steady_time now) {
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -11,10 +11,10 @@
 using telemetry::event_number;
 
 state_source_duty::state_source_duty(state_source_settings settings, document_access access,
-                                     std::function<void(std::string)> on_document,
-                                     common::random_source random, const telemetry::event_log& events)
-    : m_settings(settings), m_access(std::move(access)), m_on_document(std::move(on_document)),
-      m_random(random), m_events(events), m_backoff(settings.min_backoff), m_polls(settings.polls),
+                                     state_source_sinks sinks, common::random_source random,
+                                     const telemetry::event_log& events)
+    : m_settings(settings), m_access(std::move(access)), m_sinks(std::move(sinks)), m_random(random),
+      m_events(events), m_backoff(settings.min_backoff), m_polls(settings.polls),
       m_mode_deadline(common::steady_clock::now() + settings.max_wait_for_mode),
       m_next_unrequested_read(m_mode_deadline + random.jitter(settings.first_document_interval)),
       m_thread("state_source", [this](const std::stop_token& stop) { run(stop); }) {}
@@ -77,6 +77,7 @@
     m_backoff = m_settings.min_backoff;
     if (!std::exchange(m_reachable, true)) {
         m_events.emit(event_number::log_reachable_again);
+        m_sinks.reachable(true);
     }
     m_positioned = true;
     m_read_requested = false;
@@ -85,7 +86,7 @@
     }
     m_has_configuration = true;
     m_polls.version_received();
-    m_on_document(std::move(**document));
+    m_sinks.document(std::move(**document));
     wait(m_settings.pause_after_document);
 }
 
@@ -105,6 +106,7 @@
 milliseconds state_source_duty::handle_read_error(const std::string& detail, common::steady_time started) {
     if (std::exchange(m_reachable, false)) {
         m_events.emit(event_number::log_unreachable, {{"detail", detail}});
+        m_sinks.reachable(false);
     }
     const milliseconds pause =
         m_backoff / 2 + std::chrono::duration_cast<milliseconds>(m_random.jitter(m_backoff));
--- a/packages/daemon/tests/state_duty_test.cpp
+++ b/packages/daemon/tests/state_duty_test.cpp
@@ -127,6 +127,16 @@
     EXPECT_EQ(m_fetches, 0);
 }
 
+// Guards against a log reader that waits for the platform although the platform does not respond to it: the
+// version reached other failure domains 0.8 s later than necessary.
+TEST_F(state_duty_test, a_reader_without_the_platform_fetches_at_once) {
+    push_document("5");
+    ASSERT_TRUE(eventually([this] { return !versions().empty(); }));
+    m_duty.ring().try_push(platform_reachability{false});
+    m_duty.ring().try_push(newer_version_observed{{"127.0.0.1", 1}, {6}});
+    EXPECT_TRUE(eventually([this] { return m_fetches > 0; }, 500ms));
+}
+
 // Guards against unlimited requests to a peer that is unreachable.
 TEST_F(state_duty_test, fetches_from_an_unreachable_peer_are_limited) {
     m_duty.ring().try_push(newer_version_observed{{"127.0.0.1", 1}, {3}});
--- a/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/call_router.hpp
@@ -38,7 +38,7 @@
     balancing::balancer& targets() { return m_balancer; }
 
     /// The process ends at this time: refuses calls that may not be answered by then.
-    void refuse_calls_beyond(common::steady_time end) { m_end = end; }
+    void refuse_calls_beyond(common::steady_time end) { m_process_end = end; }
 
     asio::awaitable<response_message> handle(request_message request, request_context context);
 
@@ -78,7 +78,7 @@
     call_log m_log;
     newer_config_sink m_newer_config;
     std::shared_ptr<const routing::route_table> m_routes;
-    std::optional<common::steady_time> m_end; ///< Set when the daemon stops.
+    std::optional<common::steady_time> m_process_end; ///< Set when the daemon stops.
     balancing::caller_wait_estimator m_wait_estimator;
     std::map<std::string, admission::shedding_outlook> m_shedding; ///< By service.
     balancing::balancer m_balancer;
--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -173,7 +173,7 @@
                                         std::min<std::uint64_t>(*stated, 86'400'000))));
     }
     current.deadline = current.received + timeout;
-    if (m_end && current.deadline + peer_response_grace > *m_end) {
+    if (m_process_end && current.deadline + peer_response_grace > *m_process_end) {
         m_refused.add();
         m_log.write(event_number::call_not_admitted,
                     {{"request", current.id}, {"service", route.service}, {"reason", "stopping"}},
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -113,10 +113,14 @@
                         [reader](std::chrono::milliseconds wait, const std::stop_token& stop) {
                             return reader->poll(wait, stop);
                         }},
-        [&daemon](std::string document) {
-            daemon.state->ring().push_until(document_received{std::move(document)},
-                                            deadline_after(control_timeout));
-        },
+        state_source_sinks{[&daemon](std::string document) {
+                               daemon.state->ring().push_until(document_received{std::move(document)},
+                                                               deadline_after(control_timeout));
+                           },
+                           [&daemon](bool reachable) {
+                               daemon.state->ring().push_until(platform_reachability{reachable},
+                                                               deadline_after(control_timeout));
+                           }},
         common::random_source::from_system(), daemon.events);
 }
 
