Do not send a body whose client left during the wait for the link

Cause: a call that must not be repeated is not cancelled when its client leaves, as it may be running. That also held while its body waited for a window of the target's link, before anything was sent: the state was looked at before the wait and not after it.

Change: after the wait for a window, and after a backoff, a call of which nothing was sent ends if its client has left.

Test: forwarder.large_body_is_not_sent_for_a_client_that_left_during_the_wait; the body was sent before.

--- a/packages/forwarding/src/call_router.cpp
+++ b/packages/forwarding/src/call_router.cpp
@@ -66,6 +66,7 @@
     common::steady_time deadline;
     std::optional<common::steady_time> soft_deadline; ///< End of the route's target latency.
     balancing::late_response_policy late_responses;
+    cancellation_ptr client;   ///< Requested when the client has disconnected.
     std::string attempt_trace; ///< Host and outcome of each attempt, for the log.
     std::uint32_t attempts = 0;
     bool received_by_target = false; ///< An attempt may have reached a target, whether it ran there or not.
@@ -76,6 +77,8 @@
 };
 
 struct call_router::attempt {
+    static attempt disconnected();
+
     balancing::attempt_end end;
     attempt_outcome outcome = attempt_outcome::failed;
     std::optional<response_message> response;
@@ -84,6 +87,15 @@
     bool cancelled = false;
 };
 
+/// Result of an attempt whose client has disconnected.
+call_router::attempt call_router::attempt::disconnected() {
+    attempt result;
+    result.cancelled = true;
+    result.outcome = attempt_outcome::cancelled;
+    result.detail = "caller disconnected";
+    return result;
+}
+
 struct call_router::reservation {
     admission::transfer_window window;
     std::optional<attempt> failed; ///< Set when the body must not be sent.
@@ -194,6 +206,7 @@
 
 asio::awaitable<response_message> call_router::handle(request_message request, request_context context) {
     call current;
+    current.client = context.cancelled;
     current.inherited_repeats = context.from_own_host ? m_own_target.repeated_share() : 0;
     if (auto rejection = prepare_call(request, current)) {
         co_return std::move(*rejection);
@@ -236,6 +249,10 @@
             error_code ignored;
             co_await timer.async_wait(redirect_error_to(ignored));
         }
+        if (context.cancelled->requested() && retries.definitely_not_run()) {
+            current.attempt_trace += "caller disconnected";
+            co_return finish_call(current, balancing::fail_call{}, std::nullopt);
+        }
         const common::steady_time started = common::steady_clock::now();
         ++current.attempts;
         m_attempts.add();
@@ -298,11 +315,7 @@
         session_response response =
             co_await m_own_target.run(std::move(metadata), std::move(request), cancelled);
         if (cancelled->requested()) {
-            attempt disconnected;
-            disconnected.cancelled = true;
-            disconnected.detail = "caller disconnected";
-            disconnected.outcome = attempt_outcome::cancelled;
-            co_return disconnected;
+            co_return attempt::disconnected();
         }
         co_return evaluate_response(current, target, std::move(response.message));
     }
@@ -337,10 +350,7 @@
     const auto target_metadata = response ? extract_response_metadata(*response) : std::nullopt;
     reservation result;
     if (cancelled->requested()) {
-        result.failed = attempt{};
-        result.failed->cancelled = true;
-        result.failed->outcome = attempt_outcome::cancelled;
-        result.failed->detail = "caller disconnected";
+        result.failed = attempt::disconnected();
         co_return result;
     }
     if (!target_metadata || target_metadata->outcome != forwarding_outcome::reserved) {
@@ -361,6 +371,10 @@
         error_code ignored;
         co_await timer.async_wait(redirect_error_to(ignored));
     }
+    if (current.client->requested()) {
+        // The client left during the wait. Nothing was sent, so this holds for any call.
+        result.failed = attempt::disconnected();
+    }
     co_return result;
 }
 
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -136,6 +136,32 @@
     EXPECT_GE(duration_ms, 100);
 }
 
+// Guards against a large body, of a call that must not be repeated, that is sent after its client left: the
+// disconnect was looked at before the wait for the reserved window and not after it.
+TEST(forwarder, large_body_is_not_sent_for_a_client_that_left_during_the_wait) {
+    std::atomic<int> reservations{0};
+    std::atomic<int> bodies{0};
+    scripted_server peer_daemon([&](tcp::socket& socket, const std::string& head) {
+        if (header(head, "bh-transfer-bytes").empty()) {
+            ++bodies;
+            return false;
+        }
+        ++reservations;
+        send(socket, "HTTP/1.1 503 Later\r\nbh-outcome: reserved\r\nbh-begin-after-ms: 300\r\n"
+                     "bh-duration-ms: 20\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    });
+    daemon_under_test daemon(peer_daemon.address());
+    daemon.set_remote_target(peer_daemon.address());
+    raw_client caller(daemon.caller_endpoint());
+    caller.write(upload("u1"));
+    ASSERT_TRUE(eventually([&reservations] { return reservations == 1; }));
+    caller.close();
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(bodies, 0);
+    EXPECT_EQ(reservations, 1);
+}
+
 // Guards against a target that keeps working on an idempotent call whose caller disconnected: the forwarder
 // must close the connection to the target.
 TEST(forwarder, caller_disconnect_cancels_the_idempotent_call) {
