Do not complete a response without a length by a reset during an upload

Cause: the kernel reports a reset once. While an upload is being written, the write gets the error, and the read then sees the same as after a regular end of the connection, which delimits the body of a response without a length. Change: such a body is complete only when the whole request was written without an error. The read waits for the end of the write, so that a target that closes its side early and reads on is still served. Result: connection_pool.reset_during_an_upload_does_not_complete_a_response_without_a_length failed before ("took 'part' for the whole body") and passes; two tests hold that whole responses of this kind still arrive.

--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -93,6 +93,7 @@
                                                const exchange_options& options);
     asio::awaitable<error_code> receive_body(connection& conn, response_parser& parser,
                                              const exchange_options& options);
+    asio::awaitable<bool> is_request_written(connection& conn, common::steady_time deadline);
     bool displaces_others(std::size_t capacity) const;
     asio::awaitable<error_code> receive_some(connection& conn, common::steady_time deadline);
     asio::awaitable<tl::expected<response_message, exchange_error>>
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -86,7 +86,7 @@
 }
 
 struct connection_pool::connection {
-    explicit connection(asio::io_context& context) : stream(context) {}
+    explicit connection(asio::io_context& context) : stream(context), write_ended(context) {}
 
     /// False when the peer closed the connection or sent bytes that no request asked for.
     bool usable() {
@@ -105,8 +105,9 @@
     common::steady_time usable_until = common::steady_time::max();
     bool written = false;
     error_code write_error;
-    bool responded = false; ///< A response was received, to whichever request.
-    bool trusted = true;    ///< Every response named the request that waited for it.
+    asio::steady_timer write_ended; ///< Cancelled when `written` is set.
+    bool responded = false;         ///< A response was received, to whichever request.
+    bool trusted = true;            ///< Every response named the request that waited for it.
 };
 
 connection_pool::connection_ptr connection_pool::take_idle(const common::endpoint& remote,
@@ -191,6 +192,18 @@
     }
 }
 
+/// Waits for the end of the write of the request. The kernel reports a reset once: if the write got it, a
+/// read sees the same as after a regular end of the connection, which would complete a response without a
+/// length.
+asio::awaitable<bool> connection_pool::is_request_written(connection& conn, common::steady_time deadline) {
+    while (!conn.written && common::steady_clock::now() < deadline) {
+        conn.write_ended.expires_at(deadline);
+        error_code ignored;
+        co_await conn.write_ended.async_wait(redirect_error_to(ignored));
+    }
+    co_return conn.written && !conn.write_error;
+}
+
 /// Cuts off a response of at least the mean size, so that those without end do not displace small ones.
 bool connection_pool::displaces_others(std::size_t capacity) const {
     return m_receiving_bytes > max_receiving_bytes && capacity * m_receiving_responses >= m_receiving_bytes;
@@ -241,6 +254,9 @@
         const std::size_t before = conn.buffer.size();
         error = co_await receive_some(conn, options.deadline);
         if (error == asio::error::eof && parser.got_some()) {
+            if (parser.need_eof() && !co_await is_request_written(conn, options.deadline)) {
+                co_return make_error_code(http::error::partial_message);
+            }
             parser.put_eof(error);
             co_return error;
         }
@@ -305,6 +321,7 @@
     co_await write_paced(conn->stream, serializer, conn->request.body().size(), duration, conn->write_error,
                          [](std::size_t) {});
     conn->written = true;
+    conn->write_ended.cancel();
 }
 
 void connection_pool::return_to_pool(const common::endpoint& remote, connection_ptr conn,
