Reject responses whose status lies outside 200 to 599

Cause: Beast accepts any three digits, and everything below 200 counted as informational. Change: common::is_informational and is_final_status hold the valid ranges; other statuses end the exchange at once as a lost response, between daemons and targets and towards the store, where 000 also counted as "not executed".

--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/forwarding/connection_pool.hpp"
 
+#include "boragehollow/common/response_status.hpp"
 #include "boragehollow/common/scope_guard.hpp"
 #include "boragehollow/forwarding/message_parsing.hpp"
 #include "boragehollow/forwarding/paced_body.hpp"
@@ -293,10 +294,14 @@
                                                              : exchange_error_kind::response_lost;
             co_return tl::unexpected(exchange_error{kind, error.message()});
         }
-        const bool informational = parser.get().result_int() < 200;
-        if (informational) {
+        const unsigned status = parser.get().result_int();
+        if (common::is_informational(status)) {
             continue;
         }
+        if (!common::is_final_status(status)) {
+            co_return tl::unexpected(exchange_error{exchange_error_kind::response_lost,
+                                                    "invalid status " + std::to_string(status)});
+        }
         const bool keep_alive = parser.keep_alive();
         response_message response = parser.release();
         response.keep_alive(keep_alive);
--- a/packages/web/src/http_request.cpp
+++ b/packages/web/src/http_request.cpp
@@ -1,5 +1,6 @@
 #include "boragehollow/web/http_request.hpp"
 
+#include "boragehollow/common/response_status.hpp"
 #include "boragehollow/common/time.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -120,6 +121,10 @@
         return tl::unexpected(web_error{kind, failed.message()});
     }
     auto message = parser.release();
+    if (!common::is_final_status(message.result_int())) {
+        return tl::unexpected(
+            web_error{web_error_kind::malformed, "invalid status " + std::to_string(message.result_int())});
+    }
     http_response response;
     response.status = message.result_int();
     for (const auto& field : message) {
