Read responses with Beast in place of CivetWeb's client

Cause: CivetWeb's client takes a header line without a valid name for the end of the head, drops blanks after a name and knows no 1xx. Change: web::client_connection and the command line's client parse with Beast; waits are poll() calls with a deadline, so the limit of CivetWeb's read time-out is gone. A response without a length is not completed by an end of the connection after a failed write. A head that ends early, and a reset during an upload, were errors before in this client, too.

--- a/packages/web/include/boragehollow/web/http_client.hpp
+++ b/packages/web/include/boragehollow/web/http_client.hpp
@@ -15,8 +15,6 @@
 #include <string>
 #include <string_view>
 
-struct mg_connection;
-
 namespace boragehollow::web {
 
 struct client_response_head {
@@ -26,11 +24,17 @@
         content_length; ///< Empty if the body is chunked or ends when the connection closes.
 };
 
-/// Client connection that carries one request at a time and can be reused after a complete exchange.
+/// Blocking client connection that carries one request at a time and can be reused after a complete exchange.
+/// Implemented with Boost.Beast because CivetWeb's client accepts malformed response heads: it takes a header
+/// line that begins with a blank or a control character for the end of the head.
 class client_connection {
 public:
     static tl::expected<client_connection, web_error> connect(const common::endpoint& server);
 
+    client_connection(client_connection&& other) noexcept;
+    client_connection& operator=(client_connection&& other) noexcept;
+    ~client_connection();
+
     /// Sends the request line, the headers and the first bytes of the body in one write. The body is sent
     /// chunked if `has_body` is set and no length is given.
     tl::expected<void, web_error> send_request(std::string_view method, std::string_view target,
@@ -43,9 +47,7 @@
     /// Waits for the response head.
     tl::expected<client_response_head, web_error> read_head(std::chrono::milliseconds timeout);
 
-    /// Reads the next bytes of the response body; returns 0 at its end. If the server sends nothing,
-    /// the read times out at the first expiry of CivetWeb's read timeout after `deadline`; for a chunked
-    /// body, at the first expiry.
+    /// Reads the next bytes of the response body; returns 0 at its end.
     tl::expected<std::size_t, web_error> read(std::span<char> buffer, common::steady_time deadline);
 
     /// Reads the complete response body, up to `limit` bytes.
@@ -57,22 +59,22 @@
     const common::endpoint& server() const { return m_server; }
 
 private:
-    struct close_connection {
-        void operator()(mg_connection* connection) const;
-    };
+    struct state;
 
-    explicit client_connection(mg_connection* connection) : m_connection(connection) {}
+    explicit client_connection(std::unique_ptr<state> connected);
 
     tl::expected<void, web_error> send(std::string_view data);
+    /// Receives more bytes into the buffer; false at the end of the connection.
+    tl::expected<bool, web_error> receive(common::steady_time deadline);
+    tl::expected<void, web_error> receive_head(common::steady_time deadline);
 
-    std::unique_ptr<mg_connection, close_connection> m_connection;
+    std::unique_ptr<state> m_state;
     common::endpoint m_server;
-    std::optional<std::uint64_t> m_content_length;
     std::uint64_t m_body_bytes_read = 0;
     common::steady_time m_last_used{};
     bool m_head_request = false;
     bool m_chunked_request = false;
-    bool m_chunked_response = false;
+    bool m_send_failed = false;
     bool m_body_complete = false;
     bool m_keep_alive = false;
 };
