Repeat reads and writes after the store was restored from a copy

Callers would see: routes of an old version for as long as the operator writes nothing further, and requests at an upstream whose drain was acknowledged, if the store comes back from a copy that is some seconds old. Cause: the reader continued at its old offset, below which new records may stand, and what daemons had written (registrations, drains and departures) was never written again. Change: the store client reports the epoch in the header Store-Era of each response. Datagrams between daemons carry the epoch, since most daemons do not call the store; a daemon that learns of a later one registers and saves again (BH1214).

--- a/packages/codec/src/member_codec.cpp
+++ b/packages/codec/src/member_codec.cpp
@@ -237,6 +237,7 @@
     header.set_from_host(value.from_host);
     header.set_hlc_wall_us(static_cast<std::uint64_t>(sent.wall.time_since_epoch().count()));
     header.set_hlc_counter(sent.counter);
+    header.set_log_epoch(value.log_epoch);
     write_body(value.body, message);
     for (const member& entry : value.members) {
         write_member(entry, *message.add_members());
@@ -274,6 +275,7 @@
     decoded_datagram decoded;
     decoded.value.from_host = header.from_host();
     decoded.value.body = std::move(*body);
+    decoded.value.log_epoch = header.log_epoch();
     for (const peer::v1::Member& entry : message.members()) {
         auto value = read_member(entry);
         if (!value) {
--- a/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
@@ -11,6 +11,7 @@
 #include "boragehollow/telemetry/event_log.hpp"
 #include "boragehollow/transport/udp_socket.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -61,11 +62,16 @@
     std::vector<common::endpoint> seeds;
 };
 
+/// This daemon observed an epoch of the platform log.
+struct log_epoch_read {
+    std::uint64_t epoch = 0;
+};
+
 struct leave_mesh {};
 
-using membership_message =
-    std::variant<datagram_received, local_announcement_changed, local_version_changed, sync_requested,
-                 sync_replied, progress_requested, async_sync_requested, seeds_found, leave_mesh>;
+using membership_message = std::variant<datagram_received, local_announcement_changed, local_version_changed,
+                                        sync_requested, sync_replied, progress_requested,
+                                        async_sync_requested, seeds_found, log_epoch_read, leave_mesh>;
 
 /// Receivers of the membership duty's decisions. None of them may block.
 struct membership_sinks {
@@ -76,6 +82,8 @@
     std::function<void(std::shared_ptr<const mesh_view>)> mesh;
     /// A host reported the version that it has applied.
     std::function<void(const std::string& host, common::revision version)> version_observed;
+    /// Another daemon observed a later epoch of the platform log than any known here. Optional.
+    std::function<void(std::uint64_t epoch)> log_epoch_observed;
 };
 
 /// Owns two threads: one holds the member table and the failure detector, the other reads the UDP socket.
--- a/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
@@ -11,6 +11,7 @@
 
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <stop_token>
@@ -35,6 +36,9 @@
                                                   const std::stop_token&)>
         save_withdrawn;
     std::function<mesh_observation()> observe;
+    /// Latest known epoch of the platform log, which rises when the log is restored from an earlier copy; 0
+    /// if none is known.
+    std::function<std::uint64_t()> log_epoch;
 };
 
 struct registry_sinks {
@@ -50,7 +54,8 @@
 };
 
 /// Thread that registers this daemon and looks up others in the registry when the schedule says so, and saves
-/// withdrawn incarnations. A save that fails is retried until it succeeds or a later one replaces it.
+/// withdrawn incarnations. A save that fails is retried until it succeeds or a later one replaces it. After a
+/// restore of the platform log, it registers and saves again.
 class registry_duty {
 public:
     registry_duty(registry_access access, registry_sinks sinks, common::random_source random,
@@ -66,6 +71,7 @@
     void register_self(const std::stop_token& stop);
     void look_up(const std::stop_token& stop);
     void wait_until(common::steady_time end);
+    void repeat_writes_after_restore();
     void save(const std::stop_token& stop);
 
     registry_access m_access;
@@ -73,7 +79,9 @@
     registry_schedule m_schedule;
     const telemetry::event_log& m_events;
     bool m_restored = false;
+    std::uint64_t m_log_epoch = 0;
     std::optional<save_withdrawn> m_unsaved;
+    std::optional<std::vector<admission::withdrawn_instance>> m_last_saved;
     common::steady_time m_save_at; ///< Of `m_unsaved`.
     common::bounded_ring<save_withdrawn> m_ring{16};
     common::duty m_thread;
--- a/packages/daemon/include/boragehollow/daemon/registry_schedule.hpp
+++ b/packages/daemon/include/boragehollow/daemon/registry_schedule.hpp
@@ -42,6 +42,8 @@
     /// Reports the end of a lookup: the number of registered hosts, or nothing if it failed.
     void lookup_ended(std::optional<std::size_t> registered_hosts, common::steady_time now);
     void registration_ended(bool succeeded, common::steady_time now);
+    /// Reports that the registry may have lost this host's entry.
+    void registration_lost();
 
 private:
     std::chrono::milliseconds next_backoff();
@@ -53,6 +55,7 @@
     bool m_looked_up = false;
     bool m_lookup_done = false; ///< Since the last pause.
     bool m_registered = false;
+    bool m_register_again = false; ///< The entry was lost.
     bool m_registry_is_sparse = false;
     unsigned m_lookups = 0;
     unsigned m_failures = 0;
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -131,6 +131,12 @@
                                if (version.value > 0) {
                                    m_sinks.version_observed(received.value.from_host, version);
                                }
+                               if (received.value.log_epoch > m_engine.log_epoch()) {
+                                   m_engine.set_log_epoch(received.value.log_epoch);
+                                   if (m_sinks.log_epoch_observed) {
+                                       m_sinks.log_epoch_observed(received.value.log_epoch);
+                                   }
+                               }
                                return m_engine.receive(received.value, received.from, now);
                            },
                            [&](local_announcement_changed& changed) {
@@ -161,6 +167,10 @@
                                return std::move(result.effects);
                            },
                            [&](const seeds_found& found) { return m_engine.add_seeds(found.seeds, now); },
+                           [&](const log_epoch_read& read) {
+                               m_engine.set_log_epoch(read.epoch);
+                               return membership::membership_effects{};
+                           },
                            [&](const leave_mesh&) { return m_engine.leave(now); }},
         message);
 }
--- a/packages/daemon/src/registry_duty.cpp
+++ b/packages/daemon/src/registry_duty.cpp
@@ -33,6 +33,7 @@
 
 void registry_duty::run(const std::stop_token& stop) {
     while (!stop.stop_requested()) {
+        repeat_writes_after_restore();
         if (m_unsaved && common::steady_clock::now() >= m_save_at) {
             save(stop);
             continue;
@@ -61,6 +62,23 @@
     m_save_at = common::steady_clock::now();
 }
 
+/// What this daemon wrote since the copy was taken is gone.
+void registry_duty::repeat_writes_after_restore() {
+    const std::uint64_t epoch = m_access.log_epoch();
+    if (epoch <= m_log_epoch) {
+        return;
+    }
+    const bool restored = std::exchange(m_log_epoch, epoch) != 0;
+    if (!restored) {
+        return;
+    }
+    m_schedule.registration_lost();
+    if (!m_unsaved && m_last_saved) {
+        m_unsaved = save_withdrawn{*m_last_saved, {}};
+        m_save_at = common::steady_clock::now();
+    }
+}
+
 void registry_duty::save(const std::stop_token& stop) {
     const auto saved = m_access.save_withdrawn(m_unsaved->withdrawn, stop);
     if (stop.stop_requested()) {
@@ -73,6 +91,7 @@
         return;
     }
     m_unsaved->saved.set(true);
+    m_last_saved = std::move(m_unsaved->withdrawn);
     m_unsaved.reset();
 }
 
@@ -103,6 +122,9 @@
     m_schedule.lookup_ended(listed->endpoints.size(), now);
     m_events.emit(event_number::member_seeds_found, {{"count", listed->endpoints.size()}});
     if (!std::exchange(m_restored, true)) {
+        if (!m_last_saved && !listed->withdrawn.empty()) {
+            m_last_saved = listed->withdrawn;
+        }
         m_sinks.restored(std::move(listed->withdrawn));
     }
     m_sinks.found(std::move(listed->endpoints));
--- a/packages/daemon/src/registry_schedule.cpp
+++ b/packages/daemon/src/registry_schedule.cpp
@@ -42,8 +42,8 @@
         return look_up_hosts{};
     }
     // A daemon that is isolated after its first lookup has found nobody and must be found.
-    const bool must_be_found =
-        m_registry_is_sparse || mesh.searches_for_domain || (mesh.isolated && m_lookups > 1);
+    const bool must_be_found = m_register_again || m_registry_is_sparse || mesh.searches_for_domain ||
+                               (mesh.isolated && m_lookups > 1);
     if (!m_registered && m_looked_up && must_be_found) {
         return register_host{};
     }
@@ -69,12 +69,18 @@
 void registry_schedule::registration_ended(bool succeeded, common::steady_time now) {
     m_registered = succeeded;
     if (succeeded) {
+        m_register_again = false;
         m_failures = 0;
         return;
     }
     pause(next_backoff(), now);
 }
 
+void registry_schedule::registration_lost() {
+    m_register_again = m_register_again || m_registered;
+    m_registered = false;
+}
+
 milliseconds registry_schedule::next_backoff() {
     const milliseconds full =
         std::min(max_backoff, initial_backoff * (1U << std::min(m_failures, max_doublings)));
--- a/packages/daemon/tests/registry_duty_test.cpp
+++ b/packages/daemon/tests/registry_duty_test.cpp
@@ -38,6 +38,7 @@
             return {};
         };
         result.observe = [this] { return mesh_observation{m_isolated, false}; };
+        result.log_epoch = [this] { return m_log_epoch.load(); };
         return result;
     }
 
@@ -57,6 +58,7 @@
         return condition();
     }
 
+    std::atomic<std::uint64_t> m_log_epoch{0};
     std::atomic<bool> m_accepts_registrations{true};
     std::atomic<bool> m_isolated{false};
     std::atomic<int> m_registrations{0};
@@ -123,5 +125,20 @@
     EXPECT_EQ(m_restorations, 1);
 }
 
+// Guards against a withdrawn target that is used again, and a daemon that others cannot find: the platform
+// log came back from a copy that was taken before they were written.
+TEST_F(registry_duty_test, writes_again_what_a_restored_log_may_have_lost) {
+    m_log_epoch = 1;
+    registry_duty duty(access(), sinks(), common::random_source(1), m_events);
+    ASSERT_TRUE(eventually([this] { return m_registrations == 1; }));
+    const save_withdrawn message{{{.id = "i-1", .incarnation = 8}}, {}};
+    ASSERT_TRUE(duty.ring().try_push(message));
+    EXPECT_EQ(message.saved.wait_until(common::steady_clock::now() + 2s), true);
+    const int saves = m_saves;
+    m_log_epoch = 2;
+    EXPECT_TRUE(eventually([&] { return m_registrations == 2 && m_saves == saves + 1; }));
+    EXPECT_EQ(m_saved, 1U);
+}
+
 } // namespace
 } // namespace boragehollow::daemon
--- a/packages/membership/include/boragehollow/membership/datagram.hpp
+++ b/packages/membership/include/boragehollow/membership/datagram.hpp
@@ -58,6 +58,7 @@
     std::string from_host;
     datagram_body body;
     std::vector<member> members;
+    std::uint64_t log_epoch = 0; ///< Latest epoch of the platform log that the sender knows; 0 = none.
 
     bool operator==(const datagram&) const = default;
 };
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -12,6 +12,7 @@
 #include "boragehollow/membership/target_directory_builder.hpp"
 #include "boragehollow/membership/version_floors.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -120,6 +121,10 @@
     membership_effects announce_local_target(target_announcement announcement, common::steady_time now);
     membership_effects set_applied_version(common::revision applied, common::steady_time now);
 
+    /// Later datagrams carry this epoch of the platform log, unless a higher one is known.
+    void set_log_epoch(std::uint64_t epoch) { m_log_epoch = std::max(m_log_epoch, epoch); }
+    std::uint64_t log_epoch() const { return m_log_epoch; }
+
     /// Adds gossip endpoints of other daemons that were found after the start, and pings a few of them at
     /// once, so that a daemon which joins a running mesh knows members within a round trip.
     membership_effects add_seeds(const std::vector<common::endpoint>& seeds, common::steady_time now);
@@ -234,6 +239,7 @@
 
     std::uint64_t m_last_sequence = 0;
     std::uint64_t m_periods = 0;
+    std::uint64_t m_log_epoch = 0;
     std::uint64_t m_syncs_started = 0;
     bool m_has_whole_table = false;
     std::size_t m_startup_syncs = 3; ///< Remaining early ones; the first peer may be new too.
--- a/packages/membership/src/datagram.cpp
+++ b/packages/membership/src/datagram.cpp
@@ -10,8 +10,8 @@
 constexpr std::size_t group_overhead = 20;
 constexpr std::size_t label_overhead = 8;
 constexpr std::size_t body_overhead = 32;
-// Protocol number, hybrid timestamp and a mesh name of 64 bytes.
-constexpr std::size_t header_overhead = 96;
+// Protocol number, hybrid timestamp, log epoch and a mesh name of 64 bytes.
+constexpr std::size_t header_overhead = 107;
 
 std::size_t body_size(const datagram_body& body) {
     if (const auto* received_ack = std::get_if<ack>(&body)) {
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -360,7 +360,7 @@
     if (now < m_include_self_until && !includes_self()) {
         mandatory.push_back(*m_self);
     }
-    datagram value{m_self->host, std::move(body), {}};
+    datagram value{m_self->host, std::move(body), {}, m_log_epoch};
     std::size_t available_bytes = max_datagram_bytes - std::min(max_datagram_bytes, estimated_size(value));
     for (member& entry : mandatory) {
         const std::size_t bytes = estimated_size(entry);
--- a/packages/telemetry/src/event_catalogue.cpp
+++ b/packages/telemetry/src/event_catalogue.cpp
@@ -71,6 +71,8 @@
      "A snapshot could not be appended."},
     {event::log_reply_invalid, warning, channel::platform, "log_reply_invalid",
      "The platform log sent a reply that cannot be decoded."},
+    {event::log_restored, warning, channel::platform, "log_restored",
+     "The platform log was restored from an earlier copy and may have lost what this daemon wrote."},
     {event::config_applied, info, channel::config, "config_applied",
      "A configuration record was accepted and is active on this daemon."},
     {event::config_rejected, info, channel::config, "config_rejected",
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -4,6 +4,7 @@
 #include "document_listeners.hpp"
 #include "document_pipeline_components.hpp"
 #include "document_quota.hpp"
+#include "document_registry.hpp"
 #include "document_rollout.hpp"
 #include "forwarding_limits.hpp"
 
@@ -13,7 +14,6 @@
 #include "boragehollow/platform/document_codec.hpp"
 #include "boragehollow/platform/document_reader.hpp"
 #include "boragehollow/platform/header_names.hpp"
-#include "boragehollow/platform/host_registry.hpp"
 
 #include <peer.pb.h>
 
@@ -61,16 +61,6 @@
 const std::string sync_path = "sync";
 const std::string document_path = "document";
 
-/// Wraps a sink so that it waits until all components exist: the duties start one after the other, and the
-/// first ones may call their sinks early.
-template <class Sink>
-auto when_components_ready(document_pipeline::components& daemon, Sink sink) {
-    return [&daemon, sink = std::move(sink)](auto&&... arguments) {
-        daemon.components_ready.wait();
-        return sink(std::forward<decltype(arguments)>(arguments)...);
-    };
-}
-
 /// Policy of all services, since the documents do not contain any.
 config::service_policy document_policy(const settings::call_settings& calls) {
     config::service_policy policy;
@@ -117,8 +107,8 @@
         document_decoding{[decoder](const std::string& text) { return decoder->decode_version(text); },
                           [decoder](const std::string& text) { return decoder->decode(text); }},
         std::move(sinks), state_ring_size, common::random_source::from_system(), daemon.events);
-    const auto reader = std::make_shared<platform::document_reader>(
-        platform::store_client(*daemon.settings.platform.log), rollout_order_sinks(daemon));
+    const auto reader =
+        std::make_shared<platform::document_reader>(make_store_client(daemon), rollout_order_sinks(daemon));
     daemon.state_source = std::make_unique<state_source_duty>(
         state_source_settings{},
         document_access{[reader](const std::stop_token& stop) { return reader->newest(stop); },
@@ -136,22 +126,11 @@
         common::random_source::from_system(), daemon.events);
 }
 
-bool follows_platform(const mesh_view& mesh) {
-    const std::vector<std::string> readers = mesh.readers(mesh.own_domain);
-    return std::find(readers.begin(), readers.end(), mesh.own_host) != readers.end();
-}
-
 reading_mode reading_mode_of(const mesh_view& mesh) {
     const auto position = mesh.own_reader_position();
     return position ? reading_mode(continuous_reading{*position}) : reading_mode(reading_on_demand{});
 }
 
-mesh_observation observe_mesh(const mesh_view* mesh) {
-    const bool isolated = mesh == nullptr || mesh->count(membership::member_state::alive) <= 1;
-    // A daemon that knows no other one would take every role of its failure domain.
-    return {isolated, !isolated && follows_platform(*mesh)};
-}
-
 /// The log readers of a failure domain read the platform's documents continuously. The other daemons fetch
 /// them from daemons that have them, since the platform charges for each read of the store.
 void update_reading_mode(document_pipeline::components& daemon, const mesh_view& mesh) {
@@ -264,6 +243,8 @@
                     newer_version_observed{known->second.address, version, known->second.same_domain});
             }
         });
+    sinks.log_epoch_observed =
+        when_components_ready(daemon, [&daemon](std::uint64_t epoch) { record_log_epoch(daemon, epoch); });
     membership::membership_settings membership_settings = membership_settings_of(settings);
     membership_settings.version_fan_out_of_reader = version_fan_out_of_reader;
     membership_settings.version_fan_out = version_fan_out;
@@ -272,39 +253,7 @@
     daemon.membership = std::make_unique<membership_duty>(
         std::move(engine), std::move(socket), settings.identity.mesh, daemon.clock, daemon.links,
         settings.rings.membership, std::move(sinks), daemon.events);
-    const platform::host_registry registry{platform::store_client(*settings.platform.log)};
-    daemon.registry = std::make_unique<registry_duty>(
-        registry_access{
-            [registry, host = settings.identity.host, gossip = daemon.gossip](const std::stop_token& stop) {
-                return registry.register_host(host, gossip, stop);
-            },
-            [registry, host = settings.identity.host, &events = daemon.events](const std::stop_token& stop) {
-                return registry.list(host, stop).map([&events](platform::host_listing listing) {
-                    if (listing.skipped > 0) {
-                        events.emit(event_number::member_entries_skipped, {{"count", listing.skipped}});
-                    }
-                    return registry_listing{std::move(listing.endpoints), std::move(listing.withdrawn)};
-                });
-            },
-            [registry, host = settings.identity.host](
-                const std::vector<admission::withdrawn_instance>& withdrawn, const std::stop_token& stop) {
-                return registry.save_withdrawn(host, withdrawn, stop);
-            },
-            [&daemon] { return observe_mesh(daemon.mesh.load().get()); }},
-        registry_sinks{when_components_ready(daemon,
-                                             [&daemon](std::vector<common::endpoint> seeds) {
-                                                 daemon.registered_daemons = seeds.size();
-                                                 daemon.membership->ring().push_until(
-                                                     seeds_found{std::move(seeds)},
-                                                     deadline_after(control_timeout));
-                                             }),
-                       when_components_ready(daemon,
-                                             [&daemon](std::vector<admission::withdrawn_instance> withdrawn) {
-                                                 daemon.instance->ring().push_until(
-                                                     history_restored{std::move(withdrawn)},
-                                                     deadline_after(control_timeout));
-                                             })},
-        common::random_source::from_system(), daemon.events);
+    start_registry_duty(daemon);
 }
 
 membership::target_announcement announcement_of(const std::optional<admission::current_instance>& instance,
--- a/programs/boragehollowd/document_pipeline_components.hpp
+++ b/programs/boragehollowd/document_pipeline_components.hpp
@@ -62,6 +62,8 @@
         directory;                           ///< Accessed only by the membership thread.
     common::endpoint gossip;                 ///< Bound address.
     std::map<std::string, known_peer> hosts; ///< Accessed only by the membership thread.
+    /// Latest known epoch of the platform log; 0 before the first response of the platform or a peer.
+    std::atomic<std::uint64_t> log_epoch{0};
     /// How this daemon reads the platform; empty before the first view of the mesh. Accessed only by the
     /// membership thread.
     std::optional<reading_mode> reading;
@@ -91,4 +93,14 @@
     std::unique_ptr<web::http_server> operator_server;
 };
 
+/// Wraps a sink so that it waits until all components exist: the duties start one after the other, and the
+/// first ones may call their sinks early.
+template <class Sink>
+auto when_components_ready(document_pipeline::components& daemon, Sink sink) {
+    return [&daemon, sink = std::move(sink)](auto&&... arguments) {
+        daemon.components_ready.wait();
+        return sink(std::forward<decltype(arguments)>(arguments)...);
+    };
+}
+
 } // namespace boragehollow::daemon
--- a/programs/boragehollowd/document_rollout.cpp
+++ b/programs/boragehollowd/document_rollout.cpp
@@ -1,5 +1,7 @@
 #include "document_rollout.hpp"
 
+#include "document_registry.hpp"
+
 #include "boragehollow/platform/rollout_store.hpp"
 
 #include <utility>
@@ -34,8 +36,8 @@
     return rollout_status::running;
 }
 
-rollout_record_access record_access(const common::endpoint& store) {
-    const platform::rollout_store records{platform::store_client(store)};
+rollout_record_access record_access(document_pipeline::components& daemon) {
+    const platform::rollout_store records{make_store_client(daemon)};
     return {
         [records](const write_status& request, const std::stop_token& stop) {
             return records.write_status(request.service, {request.version, to_platform(request.wanted)}, stop)
@@ -84,7 +86,7 @@
         return;
     }
     daemon.rollout_records = std::make_unique<rollout_record_duty>(
-        record_access(*settings.platform.log),
+        record_access(daemon),
         [&daemon](rollout_message result) {
             daemon.components_ready.wait();
             // The duty does not exist after a failed start.
