Wait for space in the forwarder's ring instead of dropping a configuration

Callers would see: routes of an old version on a daemon that reports the new one, until the next version (CONFIG), or calls at a target that drains. Cause: a configuration, a change of the local target and the messages of a planned stop were posted without a look at the result; a full ring dropped them, and nothing sends them again. Change: forwarder::deliver waits for space while the forwarder runs and reports each second (BH1011). The metric boragehollow_config_handover_seconds shows how long a version waits for the forwarder, which BH1301 does not.

--- a/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/forwarder.hpp
@@ -28,6 +28,7 @@
     std::shared_ptr<const routing::route_table> routes;
     config::caller_limits limits;
     std::shared_ptr<const accounts::account_index> accounts; ///< Null: no accounts.
+    common::steady_time activated = common::steady_clock::now();
 };
 
 /// All targets of one service.
@@ -131,6 +132,10 @@
 
     /// Does not block; returns false when the ring is full.
     bool post(forwarder_message message);
+
+    /// For a message that nothing repeats: waits while the ring is full, for as long as the forwarder runs.
+    /// Must not be called on the forwarder's thread.
+    void deliver(const forwarder_message& message);
     common::ring_stats ring_stats() const { return m_ring.stats(); }
 
     common::endpoint caller_endpoint() const { return m_caller_endpoint; }
@@ -148,6 +153,7 @@
     void stop();
 
 private:
+    void wake();
     forwarder(const forwarder_settings& settings, forwarder_sinks sinks, const telemetry::event_log& events,
               telemetry::metric_registry& metrics);
 
@@ -193,6 +199,7 @@
     std::atomic<std::size_t> m_open_calls{0};
     std::atomic<std::size_t> m_unwritten_responses{0}; ///< Includes closing connections.
     config::caller_limits m_limits;
+    telemetry::latency_distribution& m_handover_time;
     load_metrics m_load;
     account_gate m_accounts;
     account_recorder m_account_calls;
--- a/packages/forwarding/src/forwarder.cpp
+++ b/packages/forwarding/src/forwarder.cpp
@@ -25,6 +25,9 @@
 /// Timeout for the handler of a control request; the requesting daemon waits no longer.
 constexpr std::chrono::seconds control_reply_timeout{2};
 
+/// Interval of the event about a full ring while a message waits for space.
+constexpr std::chrono::seconds full_ring_report_interval{1};
+
 constexpr std::string_view control_path_prefix = "/boragehollow.control/";
 
 /// Limits for connections of other daemons: those of the callers, plus room for the mesh headers.
@@ -93,6 +96,8 @@
                      const telemetry::event_log& events, telemetry::metric_registry& metrics)
     : m_settings(settings), m_sinks(std::move(sinks)), m_events(events), m_metrics(metrics),
       m_memory(std::make_shared<memory_ledger>(settings.memory, events, metrics)), m_ring(settings.ring_size),
+      m_handover_time(metrics.add_latency("boragehollow_config_handover_seconds",
+                                          "From the activation of a configuration to its use for calls")),
       m_load(metrics), m_accounts(settings.router.names), m_account_calls(metrics),
       m_target(
           m_context, settings.router.host, settings.router.names, m_accounts, settings.admission,
@@ -193,11 +198,25 @@
         m_events.emit(event_number::ring_overflow, {{"ring", "forwarder"}});
         return false;
     }
-    // One wake-up handles all messages that are posted before it runs.
+    wake();
+    return true;
+}
+
+void forwarder::deliver(const forwarder_message& message) {
+    while (!m_ring.push_until(message, common::steady_clock::now() + full_ring_report_interval)) {
+        if (m_ring.is_closed()) {
+            return;
+        }
+        m_events.emit(event_number::ring_overflow, {{"ring", "forwarder"}});
+    }
+    wake();
+}
+
+/// One wake-up handles all messages that are posted before it runs.
+void forwarder::wake() {
     if (!m_wake_pending.exchange(true)) {
         asio::post(m_context, [this] { process_messages(); });
     }
-    return true;
 }
 
 void forwarder::process_messages() {
@@ -384,6 +403,7 @@
 
 void forwarder::handle(configuration_changed& message) {
     const common::steady_time now = common::steady_clock::now();
+    m_handover_time.record(now - message.activated, now);
     m_limits = message.limits;
     m_quota.set_limits(message.accounts ? limits_of(*message.accounts) : quota::account_limits(),
                        message.routes->snapshot()->version);
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -84,7 +84,7 @@
         when_components_ready(daemon, [&daemon](const config::active_config& state,
                                                 std::shared_ptr<const routing::route_table> routes) {
             daemon.snapshot.store(state.snapshot);
-            daemon.forwarder->post(forwarding::configuration_changed{
+            daemon.forwarder->deliver(forwarding::configuration_changed{
                 std::move(routes), state.limits,
                 std::make_shared<const accounts::account_index>(state.accounts, state.snapshot->version)});
             daemon.state_source->ring().try_push(configuration_present{});
@@ -288,7 +288,7 @@
                 local = forwarding::target_instance{instance->id,    instance->address, instance->service,
                                                     instance->slots, instance->state,   instance->version};
             }
-            daemon.forwarder->post(forwarding::local_instance_changed{std::move(local)});
+            daemon.forwarder->deliver(forwarding::local_instance_changed{std::move(local)});
             membership::target_announcement announced =
                 announcement_of(instance, daemon.settings.rollout.enabled);
             if (daemon.leaving) {
--- a/programs/boragehollowd/document_shutdown.cpp
+++ b/programs/boragehollowd/document_shutdown.cpp
@@ -40,9 +40,9 @@
     daemon.membership->ring().push_until(local_announcement_changed{std::move(leaving)},
                                          deadline_after(control_timeout));
     pause.pop_until(started + target_service_time + leave_propagation_time);
-    daemon.forwarder->post(forwarding::drain_local_target{});
+    daemon.forwarder->deliver(forwarding::drain_local_target{});
     pause.pop_until(started + readiness_propagation_time);
-    daemon.forwarder->post(forwarding::stop_accepting{started + limit});
+    daemon.forwarder->deliver(forwarding::stop_accepting{started + limit});
     daemon.membership->ring().push_until(leave_mesh{}, deadline_after(control_timeout));
     pause.pop_until(common::steady_clock::now() + drain_poll_interval);
     while (daemon.forwarder->open_calls() > 0) {
