Try all documents of a read, the newest first

Callers would see: routes of an old version until the operator's next change (CONFIG). Cause: of several documents in one read only the newest was decoded. If another writer's invalid document stands behind the operator's, both arrive in one read during the pause between reads, and the valid one was dropped. Change: the reader returns all documents of a read; the state duty goes from the newest to the oldest until one is valid. Result: state_duty_test.an_invalid_document_does_not_hide_a_valid_one_of_the_same_read failed before and passes; tests of state_duty, state_source_duty and document_reader pass.

--- a/packages/daemon/include/boragehollow/daemon/state_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_duty.hpp
@@ -20,9 +20,9 @@
 
 namespace boragehollow::daemon {
 
-/// A configuration document from the platform.
-struct document_received {
-    std::string document;
+/// Configuration documents from one read of the platform, the newest last.
+struct documents_received {
+    std::vector<std::string> documents;
 };
 
 /// A compressed configuration document from another daemon.
@@ -48,7 +48,7 @@
     bool reachable = true;
 };
 
-using state_message = std::variant<document_received, peer_document_received, newer_version_observed,
+using state_message = std::variant<documents_received, peer_document_received, newer_version_observed,
                                    reading_mode_changed, platform_reachability>;
 
 /// Document of the active version, in the form in which other daemons receive it.
@@ -87,14 +87,16 @@
 
 private:
     void run();
-    void handle(const document_received& message, common::steady_time now);
+    void handle(const documents_received& message, common::steady_time now);
     void handle(const peer_document_received& message, common::steady_time now);
     void handle(const newer_version_observed& message, common::steady_time now);
     void handle(const reading_mode_changed& message, common::steady_time now);
     void handle(const platform_reachability& message, common::steady_time now);
     std::chrono::milliseconds fetch_delay();
-    /// Activates the document if it is valid and newer; true when it did.
-    bool activate(const std::string& document);
+    enum class activation { activated, not_newer, invalid };
+
+    /// Activates the document if it is valid and newer.
+    activation activate(const std::string& document);
     void fetch_if_due(common::steady_time now);
 
     document_decoding m_decode;
--- a/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/state_source_duty.hpp
@@ -14,17 +14,18 @@
 #include <stop_token>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace boragehollow::daemon {
 
-/// Reads a configuration document. Returns empty when there is none, and the cause when the platform did not
-/// respond.
+/// Reads configuration documents, the newest last. Returns none when there is none, and the cause when the
+/// platform did not respond.
 using document_read =
-    std::function<tl::expected<std::optional<std::string>, std::string>(const std::stop_token&)>;
+    std::function<tl::expected<std::vector<std::string>, std::string>(const std::stop_token&)>;
 
-/// Reads the next configuration document and waits up to `wait` if there is none yet. A read that gets no
+/// Reads the next configuration documents and waits up to `wait` if there are none yet. A read that gets no
 /// response fails some time after `wait`.
-using document_poll = std::function<tl::expected<std::optional<std::string>, std::string>(
+using document_poll = std::function<tl::expected<std::vector<std::string>, std::string>(
     std::chrono::milliseconds wait, const std::stop_token&)>;
 
 struct document_access {
@@ -55,7 +56,7 @@
 using state_source_message = std::variant<reading_mode, read_now, configuration_present>;
 
 struct state_source_sinks {
-    std::function<void(std::string)> document;
+    std::function<void(std::vector<std::string>)> documents; ///< The newest last.
     std::function<void(bool)> reachable; ///< Called when the platform stops or starts responding.
 };
 
--- a/packages/daemon/src/state_duty.cpp
+++ b/packages/daemon/src/state_duty.cpp
@@ -62,10 +62,18 @@
     }
 }
 
-void state_duty::handle(const document_received& message, common::steady_time) {
-    if (activate(message.document)) {
-        m_document.store(std::make_shared<const active_document>(
-            active_document{m_version, codec::compress_document(message.document)}));
+void state_duty::handle(const documents_received& message, common::steady_time) {
+    // An invalid document must not hide a valid one that was read with it.
+    for (auto document = message.documents.rbegin(); document != message.documents.rend(); ++document) {
+        const activation result = activate(*document);
+        if (result == activation::invalid) {
+            continue;
+        }
+        if (result == activation::activated) {
+            m_document.store(std::make_shared<const active_document>(
+                active_document{m_version, codec::compress_document(*document)}));
+        }
+        return;
     }
 }
 
@@ -76,21 +84,21 @@
                       {{"request", "document"}, {"detail", codec::to_string(document.error())}});
         return;
     }
-    if (activate(*document)) {
+    if (activate(*document) == activation::activated) {
         m_document.store(
             std::make_shared<const active_document>(active_document{m_version, message.compressed}));
         m_events.emit(event_number::config_fetched_from_peer, {{"version", m_version.value}});
     }
 }
 
-bool state_duty::activate(const std::string& document) {
+state_duty::activation state_duty::activate(const std::string& document) {
     const auto version = m_decode.version(document);
     if (version && *version <= m_version) {
         if (*version < m_version) {
             m_events.emit(event_number::config_older_version_refused,
                           {{"offered", version->value}, {"in_force", m_version.value}});
         }
-        return false;
+        return activation::not_newer;
     }
     const auto decoded =
         version ? m_decode.document(document)
@@ -98,13 +106,13 @@
     if (!decoded) {
         m_events.emit(event_number::config_undecodable,
                       {{"detail", decoded.error()}, {"bytes", document.size()}});
-        return false;
+        return activation::invalid;
     }
     const auto state = config::activate_config(*decoded, m_snapshot.get());
     if (!state) {
         m_events.emit(event_number::config_rejected,
                       {{"version", decoded->version.value}, {"detail", state.error()}});
-        return false;
+        return activation::invalid;
     }
     m_version = decoded->version;
     m_snapshot = state->snapshot;
@@ -120,7 +128,7 @@
         m_fetches = 1;
         m_fetch_at = std::min(m_fetch_at, m_last_fetch + min_fetch_interval);
     }
-    return true;
+    return activation::activated;
 }
 
 void state_duty::handle(const newer_version_observed& message, common::steady_time now) {
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -65,13 +65,13 @@
 
 void state_source_duty::read(const std::stop_token& stop) {
     const common::steady_time started = common::steady_clock::now();
-    auto document =
+    auto documents =
         follows() && m_positioned ? m_access.next(m_polls.next_wait(), stop) : m_access.newest(stop);
     if (stop.stop_requested()) {
         return;
     }
-    if (!document) {
-        wait(handle_read_error(document.error(), started));
+    if (!documents) {
+        wait(handle_read_error(documents.error(), started));
         return;
     }
     m_backoff = m_settings.min_backoff;
@@ -81,12 +81,12 @@
     }
     m_positioned = true;
     m_read_requested = false;
-    if (!*document) {
+    if (documents->empty()) {
         return;
     }
     m_has_configuration = true;
     m_polls.version_received();
-    m_sinks.document(std::move(**document));
+    m_sinks.documents(std::move(*documents));
     wait(m_settings.pause_after_document);
 }
 
--- a/packages/daemon/tests/state_duty_test.cpp
+++ b/packages/daemon/tests/state_duty_test.cpp
@@ -49,7 +49,9 @@
         m_versions.push_back(state.snapshot->version.value);
     }
 
-    void push_document(const std::string& document) { m_duty.ring().try_push(document_received{document}); }
+    void push_document(const std::string& document) {
+        m_duty.ring().try_push(documents_received{{document}});
+    }
 
     void push_peer_document(const std::string& document) {
         m_duty.ring().try_push(peer_document_received{codec::compress_document(document)});
@@ -89,6 +91,17 @@
     EXPECT_EQ(codec::decompress_document(m_duty.document()->compressed), "9");
 }
 
+// Guards against a valid version that is not in force because another writer's invalid document was read
+// behind it, in the same read.
+TEST_F(state_duty_test, an_invalid_document_does_not_hide_a_valid_one_of_the_same_read) {
+    m_duty.ring().try_push(documents_received{{"5", "6", "broken", ""}});
+    ASSERT_TRUE(eventually([this] { return !versions().empty(); }));
+    m_duty.ring().try_push(documents_received{{"5", "6"}});
+    push_document("7");
+    ASSERT_TRUE(eventually([this] { return versions().back() == 7; }));
+    EXPECT_EQ(versions(), (std::vector<std::uint64_t>{6, 7}));
+}
+
 // Guards against a daemon that stops to ask for the newest version during a storm: each document that the
 // peer sends is already older than the version that was reported.
 TEST_F(state_duty_test, a_peer_that_catches_up_is_asked_until_it_has_the_reported_version) {
--- a/packages/daemon/tests/state_source_duty_test.cpp
+++ b/packages/daemon/tests/state_source_duty_test.cpp
@@ -26,20 +26,20 @@
                   .max_backoff = 40ms},
                  {[this](const std::stop_token&) { return read(m_newest_reads); },
                   [this](std::chrono::milliseconds wait, const std::stop_token&) { return poll(wait); }},
-                 {[this](const std::string&) { ++m_documents; },
+                 {[this](const std::vector<std::string>&) { ++m_documents; },
                   [this](bool reachable) { m_reported_reachable = reachable; }},
                  common::random_source(1), m_events) {}
 
-    tl::expected<std::optional<std::string>, std::string> read(std::atomic<int>& counter) {
+    tl::expected<std::vector<std::string>, std::string> read(std::atomic<int>& counter) {
         if (!m_store_reachable) {
             return tl::unexpected<std::string>("away");
         }
         ++counter;
-        return m_store_has_document ? std::optional<std::string>("document") : std::nullopt;
+        return m_store_has_document ? std::vector<std::string>{"document"} : std::vector<std::string>();
     }
 
     /// Long poll of a platform that responds at once, or to nobody.
-    tl::expected<std::optional<std::string>, std::string> poll(std::chrono::milliseconds wait) {
+    tl::expected<std::vector<std::string>, std::string> poll(std::chrono::milliseconds wait) {
         {
             const std::lock_guard lock(m_mutex);
             m_poll_waits.push_back(wait);
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -115,8 +115,8 @@
                         [reader](std::chrono::milliseconds wait, const std::stop_token& stop) {
                             return reader->poll(wait, stop);
                         }},
-        state_source_sinks{[&daemon](std::string document) {
-                               daemon.state->ring().push_until(document_received{std::move(document)},
+        state_source_sinks{[&daemon](std::vector<std::string> documents) {
+                               daemon.state->ring().push_until(documents_received{std::move(documents)},
                                                                deadline_after(control_timeout));
                            },
                            [&daemon](bool reachable) {
--- a/tools/soak/config_soak.py
+++ b/tools/soak/config_soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import json
 import os
 import pathlib
 import random
@@ -31,6 +32,73 @@
 # A probe that was slower than this may have waited in this program; it says nothing about the daemon.
 MAX_PROBE_S = 0.5
 FAULTS = ("kill", "herd", "roll", "freeze", "hup", "store", "links", "silent connections")
+OPTIONAL_FAULTS = ("readers", "restore")
+
+
+class RestorableStore(m.Store):
+    """A store that can come back from an earlier copy. All its answers state its era."""
+
+    def __init__(self, record):
+        super().__init__(record)
+        self.era = 1
+        self.config = b""  # The operator's newest document, which it writes again after a restore.
+        self._appended_at = {}
+
+    def put(self, topic, key, value):
+        self._appended_at.setdefault(topic, []).append(self._record.now())
+        super().put(topic, key, value)
+
+    def put_config(self, document):
+        self.config = json.dumps(document).encode()
+        super().put_config(document)
+
+    def restore(self, age_s):
+        """Goes back to the state of `age_s` ago; offsets go back, too."""
+        copied_at = self._record.now() - age_s
+        for topic, times in self._appended_at.items():
+            kept = sum(at <= copied_at for at in times)
+            del times[kept:]
+            del self._topics[topic][kept:]
+        self.era += 1
+        self._record.add(f"store: restored from a copy {age_s:.1f} s old, era {self.era}")
+
+    def _with_era(self, reply):
+        return reply.replace(b"\r\n", f"\r\nStore-Era: {self.era}\r\n".encode(), 1)
+
+    def _append(self, topic, body):
+        return self._with_era(super()._append(topic, body))
+
+    async def _read(self, topic, query):
+        if int(query.get("from", "0")) > len(self._topics.get(topic, [])):
+            return self._with_era(m.response(410, [], b'{"first":0}'))
+        return self._with_era(await super()._read(topic, query))
+
+    def _newest(self, topic):
+        return self._with_era(super()._newest(topic))
+
+
+class KeptConnection:
+    """A client that sends its requests on one open connection until the daemon closes it."""
+
+    def __init__(self, port):
+        self.port = port
+        self._reader = None
+        self._writer = None
+
+    async def get(self, path, headers):
+        """The answer, or None if the connection ended without one."""
+        if self._writer is None:
+            self._reader, self._writer = await asyncio.open_connection("127.0.0.1", self.port, limit=2**27)
+        message = None
+        try:
+            self._writer.write(m.request_bytes("GET", path, headers))
+            message = await m.read_message(self._reader)
+        finally:
+            # Also after a time-out: a later answer must not be taken for that of the next request.
+            if message is None or message[1].get("connection", "").lower() == "close":
+                self._writer.close()
+                self._writer = None
+        return m.Answer(message) if message else None
 
 
 class StoreLink(m.Server):
@@ -82,6 +150,7 @@
         self.seen_at = 0.0
         self.sequence = 0  # Grows with each process.
         super().__init__(mesh, name, zone, upstream)
+        self.client = KeptConnection(self.outbound)
 
     def configure(self):
         super().configure()
@@ -103,8 +172,9 @@
 
 
 class Soak:
-    def __init__(self, record, program, seed, seconds, faults):
+    def __init__(self, record, program, seed, seconds, faults, zones):
         self.record = record
+        self.zones = zones
         self.program = program
         self.faults = faults
         self.random = random.Random(seed)
@@ -189,6 +259,18 @@
         for daemon in daemons:
             daemon.link.mode = "open"
 
+    async def restore_store(self):
+        """The store is away for a moment and comes back from an earlier copy; the operator writes again."""
+        store, away_s = self.mesh.store, self.random.uniform(0.2, 2.0)
+        self.disturb_store(away_s)
+        await self.cut_store_links(self.mesh.daemons, self.random.choice(("silent", "reset")), away_s)
+        store.restore(self.random.uniform(1.0, 6.0))
+        self.disturb_store(0.0)
+        await asyncio.sleep(self.random.uniform(0.0, 0.5))
+        if store.config:
+            store.put("keyed.op", "config", store.config)
+        self.disturb_store(0.0)
+
     async def fault(self):
         pick, daemons = self.random, self.mesh.daemons
         kind = pick.choice(self.faults)
@@ -220,6 +302,8 @@
             self.disturb_store(lasting)
             await self.cut_store_links(daemons, pick.choice(("silent", "reset", "lose answers")), lasting)
             self.disturb_store(0.0)
+        elif kind == "restore":
+            await self.restore_store()
         elif kind == "links":
             chosen = pick.sample(daemons, pick.randrange(1, 5))
             await self.cut_store_links(chosen, pick.choice(("silent", "reset", "lose answers")),
@@ -268,8 +352,7 @@
         seen, seen_at = daemon.seen, daemon.seen_at
         try:
             answer = await asyncio.wait_for(
-                m.request(daemon.outbound, "GET", f"/n{number}/x",
-                          m.client_headers(f"{daemon.name}-{sent:.4f}-{number}", 1000)), 1.5)
+                daemon.client.get(f"/n{number}/x", m.client_headers(f"{daemon.name}-{sent:.4f}-{number}", 1000)), 1.5)
         except (OSError, asyncio.TimeoutError, TimeoutError):
             return
         self.probes += 1
@@ -301,10 +384,11 @@
 
     async def run(self):
         mesh = m.Mesh(self.record)
+        mesh.store = RestorableStore(self.record)
         mesh.role["run"] = " ".join([str(self.program)] + mesh.role["run"].split(" ")[1:])
         async with mesh:
             self.mesh = mesh
-            for zone, hosts in ZONES.items():
+            for zone, hosts in self.zones.items():
                 for number in range(hosts):
                     upstream = m.Upstream(self.record, f"desk-{zone}{number}", "desk", work_s=0.005)
                     upstream.count_run = lambda message: message[1].get("boragehollow-request-id", "")
@@ -333,14 +417,15 @@
     parser.add_argument("--program", default="target/programs/boragehollowd/boragehollowd")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=60.0)
-    parser.add_argument("--faults", default=",".join(FAULTS), help="kinds of faults; also: readers")
+    parser.add_argument("--faults", default=",".join(FAULTS), help="kinds of faults; also: " + ", ".join(OPTIONAL_FAULTS))
+    parser.add_argument("--hosts", type=int, default=0, help="hosts in each of three failure domains")
     parser.add_argument("--logs", default=tempfile.gettempdir(),
                         help="folder of the record; KEEP_LOGS=1 keeps the daemons' logs")
     options = parser.parse_args()
     folder = pathlib.Path(options.logs) / f"config-soak-{options.seed}-{os.getpid()}"
     folder.mkdir(parents=True)
     soak = Soak(m.Record(folder), (REPOSITORY / options.program).resolve(), options.seed, options.seconds,
-                options.faults.split(","))
+                options.faults.split(","), dict.fromkeys(ZONES, options.hosts) if options.hosts else ZONES)
     asyncio.run(soak.run())
     for line in soak.violations[:20]:
         print(line)
