Poll without a wait while the platform does not respond

Cause: a long poll that begins during an outage hangs for its whole wait and 0.8 s more, also when the store responds again: 4.4 s with six readers. Change: after a poll without a response the next ones do not wait, so that each fails 0.8 s after it began; the first poll after the outage is staggered by the reader's position again.

--- a/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
+++ b/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
@@ -27,7 +27,7 @@
 /// A poll that meets a platform which does not respond, or whose connection fails silently, hears nothing
 /// until it ends, also when the platform responds to others again. A version ends the polls of all readers at
 /// once; with equal waits they would then hang together for a whole wait. Each reader therefore shortens its
-/// first poll after a version by its position, so that there is always one whose next poll begins soon. The
+/// first poll after such an end by its position, so that there is always one whose next poll begins soon. The
 /// waits grow with the number of readers, so that the rate of calls does not.
 class poll_schedule {
 public:
@@ -35,8 +35,8 @@
 
     void set_position(reader_position position) { m_position = position; }
 
-    /// The polls of all readers have ended together.
-    void version_received() { m_first_poll = true; }
+    /// The polls of all readers have ended together, by a version or by the end of an outage.
+    void polls_ended_together() { m_first_poll = true; }
 
     /// Wait of the next poll.
     std::chrono::milliseconds next_wait();
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -65,8 +65,10 @@
 
 void state_source_duty::read(const std::stop_token& stop) {
     const common::steady_time started = common::steady_clock::now();
-    auto documents =
-        follows() && m_positioned ? m_access.next(m_polls.next_wait(), stop) : m_access.newest(stop);
+    // A poll that begins while the platform is silent hears nothing until it ends, so it must not wait.
+    auto documents = follows() && m_positioned
+                         ? m_access.next(m_reachable ? m_polls.next_wait() : milliseconds::zero(), stop)
+                         : m_access.newest(stop);
     if (stop.stop_requested()) {
         return;
     }
@@ -77,6 +79,7 @@
     m_backoff = m_settings.min_backoff;
     if (!std::exchange(m_reachable, true)) {
         m_events.emit(event_number::log_reachable_again);
+        m_polls.polls_ended_together();
         m_sinks.reachable(true);
     }
     m_positioned = true;
@@ -85,7 +88,7 @@
         return;
     }
     m_has_configuration = true;
-    m_polls.version_received();
+    m_polls.polls_ended_together();
     m_sinks.documents(std::move(*documents));
     wait(m_settings.pause_after_document);
 }
