Limit the time of a connect in the blocking client

Cause: Asio's synchronous connect waits without a limit also on a socket that does not block, so the time-out behind it was never reached; a host that drops packets would hold a thread for the two minutes of the kernel. Found when the diff was read. Change: the client calls connect() itself and waits with poll(). No test shows the time-out: a peer that drops packets cannot be had on loopback without a long wait.

--- a/packages/web/src/http_client.cpp
+++ b/packages/web/src/http_client.cpp
@@ -50,7 +50,7 @@
 
 /// Owns the sockets' services only: all waits are poll() calls on the calling thread.
 asio::io_context& socket_context() {
-    static asio::io_context context{1};
+    static asio::io_context context;
     return context;
 }
 
@@ -109,10 +109,11 @@
     if (!error) {
         socket.non_blocking(true, error);
     }
-    if (!error) {
-        socket.connect(remote, error);
+    // Asio's own connect would wait without a limit, also on a socket that does not block.
+    if (!error && ::connect(socket.native_handle(), remote.data(), remote.size()) != 0) {
+        error = error_code(errno, boost::system::system_category());
     }
-    if (error == asio::error::in_progress || error == asio::error::would_block) {
+    if (error == asio::error::in_progress) {
         if (!wait_for(socket, POLLOUT, common::steady_clock::now() + connect_timeout)) {
             return failed("timed out");
         }
