Leave a slow platform time to respond to the polls after an outage

Cause: polls without any wait end 0.8 s after they began, which a slow store may need for a large document; a reader whose poll once got no response could then fail for as long as the store is slow. Result: state_source_duty and poll_schedule tests pass three times; the recovery after an outage was not measured again with this wait.

--- a/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
+++ b/packages/daemon/include/boragehollow/daemon/poll_schedule.hpp
@@ -20,6 +20,10 @@
     std::chrono::milliseconds min_wait{1'500};
     /// Longest wait, after which a reader hears of new versions again even if all others have failed.
     std::chrono::milliseconds max_wait{6'000};
+    /// Wait while the platform does not respond. A poll that begins in an outage hangs for its whole wait,
+    /// also when the platform responds again, but it must leave a slow platform time to send a large
+    /// document.
+    std::chrono::milliseconds outage_wait{700};
 };
 
 /// Decides how long the long polls of one reader wait, so that the readers cover one another.
@@ -41,6 +45,9 @@
     /// Wait of the next poll.
     std::chrono::milliseconds next_wait();
 
+    /// Wait of the next poll after one without a response.
+    std::chrono::milliseconds outage_wait() const { return m_settings.outage_wait; }
+
 private:
     poll_schedule_settings m_settings;
     reader_position m_position;
--- a/packages/daemon/src/state_source_duty.cpp
+++ b/packages/daemon/src/state_source_duty.cpp
@@ -65,10 +65,9 @@
 
 void state_source_duty::read(const std::stop_token& stop) {
     const common::steady_time started = common::steady_clock::now();
-    // A poll that begins while the platform is silent hears nothing until it ends, so it must not wait.
-    auto documents = follows() && m_positioned
-                         ? m_access.next(m_reachable ? m_polls.next_wait() : milliseconds::zero(), stop)
-                         : m_access.newest(stop);
+    const bool polls = follows() && m_positioned;
+    auto documents = polls ? m_access.next(m_reachable ? m_polls.next_wait() : m_polls.outage_wait(), stop)
+                           : m_access.newest(stop);
     if (stop.stop_requested()) {
         return;
     }
