--- a/review/standins-2/mesh2.py
+++ b/review/standins-2/mesh2.py
@@ -11,6 +11,7 @@
 import pathlib
 import random
 import re
+import resource
 import signal
 import socket
 import struct
@@ -329,6 +330,57 @@
     raise CannotRun("no free ports")
 
 
+def allow_descriptors(count):
+    """Raises the soft limit of this process to `count`, as far as its hard limit lets it."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (count if hard == resource.RLIM_INFINITY else min(count, hard), hard))
+
+
+def resident_kb(pid):
+    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1])
+    return 0
+
+
+async def order_on_kept_connection(host, record, number, orders):
+    """A client that sends one order after the other; notes in `orders` how each ended."""
+    reader, writer = await asyncio.open_connection(*host.outbound, local_addr=(CLIENT_ADDRESS, 0))
+    sent = 0
+    while True:
+        sent += 1
+        request_id = f"o{number}-{sent:05d}"
+        orders[request_id] = "sent"
+        fields = {
+            "Host": "a.example", "Boragehollow-Request-Id": request_id, "Boragehollow-Deadline-Ms": "2000", "Content-Length": 2,
+        }
+        try:
+            writer.write(message("POST /order/x HTTP/1.1", fields, b"{}"))
+            await writer.drain()
+            answer = await read_message(reader)
+        except OSError:
+            answer = None
+        orders[request_id] = answer[0].split()[1] if answer else "closed without an answer"
+        if answer is None:
+            record(f"client: {request_id} -> {orders[request_id]}")
+            return
+        await asyncio.sleep(random.uniform(0, 0.1))
+
+
+async def enforce_memory(host, record, ended):
+    """The platform: ends the daemon when it exceeds the memory of its machine."""
+    while host.process.poll() is None:
+        held = resident_kb(host.process.pid)
+        if held > host.memory_mb * 1024:
+            host.kill()
+            record(f"platform: ended {host.name}, which held {held} KB of {host.memory_mb * 1024} KB")
+            ended.append(host.name)
+            return
+        await asyncio.sleep(0.1)
+    record(f"{host.name} ended by itself with {host.process.returncode}")
+    ended.append(host.name)
+
+
 def fill_template(text, values):
     """Placeholders of DEPLOY.md, as far as the template uses them."""
 
@@ -347,7 +399,7 @@
 class Host:
     """A machine: its addresses, its daemon and its upstream."""
 
-    def __init__(self, record, folder, number, zone, service, port, store_address, zones, contracts=None, heartbeat="1500ms", memory_mb=260):
+    def __init__(self, record, folder, number, zone, service, port, store_address, zones, contracts=None, heartbeat="1500ms", memory_mb=260, max_fds=1000):
         self.record = record
         self.folder = folder
         self.name = f"sidecar-{zone}-{number}"
@@ -364,6 +416,7 @@
         self.contracts = contracts or ["base", "drain", "config", "cost", "retry", "recover", "platform"]
         self.heartbeat = heartbeat
         self.memory_mb = memory_mb
+        self.max_fds = max_fds
         self.process = None
         self.starts = 0
 
@@ -379,7 +432,7 @@
                 "ready": text(self.ready), "control": text(self.control),
             },
             "internalPorts": self.internal, "seeds": [], "bootstrap": self.starts == 0, "lossCounts": False,
-            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": self.memory_mb, "maxFds": 1000, "linkMbps": 1000.0, "diskMb": 0},
+            "limits": {"cpuShare": 0.2, "cores": 1, "memoryMb": self.memory_mb, "maxFds": self.max_fds, "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discovery": "static", "entry": "static", "heartbeat": self.heartbeat,
             "contracts": self.contracts, "faultTolerance": {"machines": 1, "zones": 1, "regions": 0},
             "bounds": {
@@ -411,6 +464,7 @@
             self.process = subprocess.Popen(
                 [str(DAEMON), "--settings", str(path)], cwd=REPOSITORY, env=environment,
                 stdin=subprocess.DEVNULL, stdout=output, stderr=subprocess.STDOUT,
+                preexec_fn=lambda: allow_descriptors(self.max_fds),
             )
         self.record(f"{self.name}: daemon started")
 
