Tell a script that fails from a broken rule

Python exits with 1 for a script that it cannot run, the code for a broken rule; one run of case 10 with a syntax error looked like one. case.py now exits with 10 for a broken rule, and run.sh turns anything unknown into 2.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -55,7 +55,8 @@
                 if code is None:
                     break
                 ends += 1
-                record(f"{host.name}: the process ended by itself with {code}: {host.log_text().strip()}")
+                text = host.log_text().strip().replace(str(folder), "")
+                record(f"{host.name}: the process ended by itself with {code}: {text}")
         await asyncio.sleep(4)
         for host in hosts:
             status, _, body = await m.call(
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,2 +1,9 @@
 #!/bin/sh
-cd "$(dirname "$0")" && exec python3 -B case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+python3 -B case.py
+case $? in
+  0) exit 0 ;;
+  10) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standins-2/mesh2.py
+++ b/review/standins-2/mesh2.py
@@ -26,6 +26,10 @@
 CLIENT_ADDRESS = "127.20.2.1"
 
 
+# Exit code of case.py, which run.sh turns into 1: Python itself exits with 1 for a script that fails.
+RULE_BROKEN = 10
+
+
 class CannotRun(Exception):
     """The case cannot run here; the script exits with 2."""
 
@@ -519,13 +523,13 @@
 
 
 def run(folder, case):
-    """Runs `case(record, temporary folder)`, which returns True if the rule held. Returns the exit code."""
+    """Runs `case(record, temporary folder)`, which returns True if the rule held. Returns the exit code of case.py."""
     record = Record(pathlib.Path(folder) / "record.txt")
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         try:
             held = asyncio.run(asyncio.wait_for(case(record, pathlib.Path(temporary)), 115))
-        except (CannotRun, TimeoutError, OSError) as problem:
+        except Exception as problem:  # Also a fault of the script itself.
             record(f"the case could not run: {problem!r}")
             return 2
     record("the rule held" if held else "THE RULE WAS BROKEN")
-    return 0 if held else 1
+    return 0 if held else RULE_BROKEN
