--- a/review/10/case.py
+++ b/review/10/case.py
@@ -15,7 +15,9 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 GRACE_S = 6.0  # `grace` of the site
-STARTS = 3  # a process that exits is started again after a short delay
+STARTS = 4  # a process that exits is started again after a short delay
+ENDS_IN_A_DAY = 3  # Fault: on a tenth of the machines, two at least, processes end by themselves three times
+MACHINES = 2
 
 
 async def case(record, folder):
@@ -38,7 +40,7 @@
             return all([await host.readiness() == 200 for host in hosts])
 
         await m.eventually(all_ready, 20, "all daemons are ready")
-        ends = 0
+        ends = {}  # by host, without the first start: it may lie within a second of the SIGTERM
         for host in hosts:
             # The platform fills in the file anew, says so, and stops and starts the daemon as planned work.
             host.heartbeat = "2.5s" if TROUBLE else "1500ms"
@@ -48,13 +50,13 @@
             await asyncio.sleep(1)
             host.process.send_signal(signal.SIGTERM)
             await m.eventually(lambda: host.process.poll() is not None, GRACE_S + 1, "the daemon stops")
-            for _ in range(STARTS):
+            for start in range(STARTS):
                 host.start()
                 await asyncio.sleep(2)
                 code = host.process.poll()
                 if code is None:
                     break
-                ends += 1
+                ends[host.name] = ends.get(host.name, 0) + (1 if start > 0 else 0)
                 text = host.log_text().strip().replace(str(folder), "")
                 record(f"{host.name}: the process ended by itself with {code}: {text}")
         await asyncio.sleep(4)
@@ -63,8 +65,8 @@
                 host.outbound, "GET", "/safe/x", {"Boragehollow-Request-Id": f"r-{host.name}", "Boragehollow-Deadline-Ms": "2000"},
             )
             record(f"client: /safe/x by {host.name} -> {status} {body.decode('latin-1')[:60]}")
-        record(f"starts that failed: {ends}")
-        return ends == 0
+        record(f"ends of processes by themselves, without the first of each machine: {ends}")
+        return sum(count >= ENDS_IN_A_DAY for count in ends.values()) < MACHINES
     finally:
         for upstream in upstreams:
             upstream.stop_beating()
