Start with every heartbeat that the platform states

The template put the platform's text into timing.heartbeat, an entry that took whole numbers of at most 2 s, and an invalid entry ends the start.

Cause: values of the platform were checked as if operators of the product had written them, and by another parser than the platform's documents.

Change: parse_duration reads fractions and is the only parser of durations. Numbers and durations of the platform are read from its terms (platform::apply_terms, until now apply_contracts), which replace a value that cannot be used and report it (BH1106), so that none prevents the start: heartbeat, link rate, memory and descriptors with a decimal point, bounds as a list. The bound of 2 s still holds where the configuration comes as changes. An empty text leaves an optional entry unset. SIGHUP puts a new heartbeat interval into force; BH1104 names the entries that wait for a restart.

--- a/packages/admission/include/boragehollow/admission/instance_tracker.hpp
+++ b/packages/admission/include/boragehollow/admission/instance_tracker.hpp
@@ -97,6 +97,8 @@
     /// next announcement makes it reachable again.
     bool mark_unreachable();
 
+    void set_silence_timeout(milliseconds timeout) { m_settings.silence_timeout = timeout; }
+
     /// Drops the current incarnation if it exceeded the silence timeout; true when it did.
     bool expire_if_silent(steady_time now);
 
--- a/packages/common/include/boragehollow/common/duration_text.hpp
+++ b/packages/common/include/boragehollow/common/duration_text.hpp
@@ -8,7 +8,7 @@
 
 namespace boragehollow::common {
 
-/// Parses a whole number with a unit: `250ms`, `2s`, `10m`, `24h`. The error states the expected format.
+/// Parses a decimal number with a unit: `250ms`, `2.5s`, `10m`, `24h`. The error states the expected format.
 tl::expected<std::chrono::milliseconds, std::string> parse_duration(std::string_view text);
 
 /// Formats a duration in the largest unit that divides it.
--- a/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/instance_duty.hpp
@@ -6,6 +6,7 @@
 #include "boragehollow/common/reply_slot.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -38,8 +39,13 @@
 /// The target refused a connection or identified itself as another instance.
 struct instance_unreachable {};
 
-using instance_message =
-    std::variant<instance_announced, instance_departed, instance_unreachable, history_restored>;
+/// The platform changed the interval of the target's announcements.
+struct silence_timeout_changed {
+    std::chrono::milliseconds timeout;
+};
+
+using instance_message = std::variant<instance_announced, instance_departed, instance_unreachable,
+                                      history_restored, silence_timeout_changed>;
 
 /// Receivers of the instance duty's decisions.
 struct instance_sinks {
@@ -66,6 +72,7 @@
     void handle(const instance_departed& message, common::steady_time now);
     void handle(const instance_unreachable& message, common::steady_time now);
     void handle(const history_restored& message, common::steady_time now);
+    void handle(const silence_timeout_changed& message, common::steady_time now);
     void publish_current();
 
     admission::instance_tracker m_tracker;
--- a/packages/daemon/src/instance_duty.cpp
+++ b/packages/daemon/src/instance_duty.cpp
@@ -100,6 +100,10 @@
     }
 }
 
+void instance_duty::handle(const silence_timeout_changed& message, common::steady_time) {
+    m_tracker.set_silence_timeout(message.timeout);
+}
+
 void instance_duty::publish_current() {
     const auto current = m_tracker.current();
     if (current) {
--- a/packages/settings/include/boragehollow/settings/daemon_settings.hpp
+++ b/packages/settings/include/boragehollow/settings/daemon_settings.hpp
@@ -16,6 +16,12 @@
 using common::endpoint;
 using std::chrono::milliseconds;
 
+/// Ranges of entries that the adapter to a platform may also set.
+inline constexpr milliseconds min_heartbeat{20};
+inline constexpr milliseconds max_heartbeat{std::chrono::minutes(10)};
+inline constexpr double min_link_megabits = 0.1;
+inline constexpr double max_link_megabits = 1'000'000;
+
 struct identity_settings {
     std::string mesh;
     std::string host;
--- a/packages/settings/src/conflicts.cpp
+++ b/packages/settings/src/conflicts.cpp
@@ -15,6 +15,9 @@
 /// Guaranteed bound: a target that stops announcing itself receives no new work after this time.
 constexpr milliseconds max_target_silence = 3s;
 
+/// Leaves time to notice the silence within that bound.
+constexpr milliseconds max_timely_heartbeat = 2s;
+
 bool is_wildcard(const endpoint& value) {
     return value.address == "0.0.0.0" || value.address == "::";
 }
@@ -72,6 +75,19 @@
     }
 }
 
+void check_heartbeats(const timing_settings& timing, std::vector<conflict>& found) {
+    if (timing.heartbeat > max_timely_heartbeat) {
+        found.push_back(
+            {{"timing.heartbeat"}, "must not exceed " + common::format_duration(max_timely_heartbeat)});
+        return;
+    }
+    if (timing.heartbeat * timing.missed_heartbeats >= max_target_silence) {
+        found.push_back({{"timing.missed_heartbeats", "timing.heartbeat"},
+                         "times timing.heartbeat must be less than 3s, after which a silent target "
+                         "receives no new work"});
+    }
+}
+
 void check_timing(const daemon_settings& settings, std::vector<conflict>& found) {
     const timing_settings& timing = settings.timing;
     if (timing.swim_ack_timeout >= timing.swim_period) {
@@ -87,11 +103,8 @@
     }
     // In document mode the platform's targets may announce themselves seconds late, and a refused connection
     // marks a target as departed instead.
-    const bool heartbeats_are_timely = settings.platform.configuration == configuration_source::changes;
-    if (heartbeats_are_timely && timing.heartbeat * timing.missed_heartbeats >= max_target_silence) {
-        found.push_back({{"timing.missed_heartbeats", "timing.heartbeat"},
-                         "times timing.heartbeat must be less than 3s, after which a silent target "
-                         "receives no new work"});
+    if (settings.platform.configuration == configuration_source::changes) {
+        check_heartbeats(timing, found);
     }
     if (settings.platform.min_backoff > settings.platform.max_backoff) {
         found.push_back({{"platform.min_backoff", "platform.max_backoff"},
--- a/packages/settings/src/entries.cpp
+++ b/packages/settings/src/entries.cpp
@@ -71,11 +71,13 @@
          "of a mesh."},
 
         {"platform.configuration",
-         choice_entry{[](daemon_settings& s, std::size_t i) {
-                          s.platform.configuration = static_cast<configuration_source>(i);
-                      },
-                      {"changes", "documents"},
-                      0},
+         choice_entry{
+             [](daemon_settings& s, std::size_t i) {
+                 s.platform.configuration = static_cast<configuration_source>(i);
+             },
+             [](const daemon_settings& s) { return static_cast<std::size_t>(s.platform.configuration); },
+             {"changes", "documents"},
+             0},
          "Where the configuration comes from: changes that operators append through this product, or "
          "complete versioned documents that the platform's operators write."},
         {"platform.log", optional_endpoint_entry{field<&root::platform, &platform_settings::log>},
@@ -114,8 +116,11 @@
              "Control requests to peers."),
 
         {"limits.link_megabits",
-         real_entry{field<&root::limits, &limit_settings::link_megabits>, 1'000, 0.1, 1'000'000, "Mbit/s"},
-         "Rate of this host's link. Other daemons send large bodies at a fraction of it."},
+         real_entry{field<&root::limits, &limit_settings::link_megabits>, 1'000, min_link_megabits,
+                    max_link_megabits, "Mbit/s"},
+         "Rate of this host's link. Other daemons send large bodies at a fraction of it. Where the "
+         "configuration "
+         "comes as documents, the platform's terms replace it."},
         size("limits.memory_mb", field<&root::limits, &limit_settings::memory_mb>, 0, 0, 1'048'576, "MB",
              "Memory of this host that the daemon may use. 0: unlimited."),
         size("limits.memory_base_mb", field<&root::limits, &limit_settings::memory_base_mb>, 36, 1, 1'048'576,
@@ -184,8 +189,10 @@
                  "Random delay of the first pull, which spreads the load after many daemons start at once."),
         duration("timing.progress_interval", field<&root::timing, &timing_settings::progress_interval>, 5s,
                  100ms, 1min, "Interval between reports of the applied version to the log readers."),
-        duration("timing.heartbeat", field<&root::timing, &timing_settings::heartbeat>, 500ms, 20ms, 2s,
-                 "Interval at which the local target announces itself."),
+        duration("timing.heartbeat", field<&root::timing, &timing_settings::heartbeat>, 500ms, min_heartbeat,
+                 max_heartbeat,
+                 "Interval at which the local target announces itself. Where the configuration comes as "
+                 "documents, the platform's terms replace it."),
         {"timing.missed_heartbeats",
          count_entry{field<&root::timing, &timing_settings::missed_heartbeats>, 3, 1, 20},
          "Missed announcements after which the local target receives no new work."},
@@ -213,6 +220,7 @@
         {"calls.balancing",
          choice_entry{
              [](daemon_settings& s, std::size_t i) { s.calls.balancing = static_cast<balancing_choice>(i); },
+             [](const daemon_settings& s) { return static_cast<std::size_t>(s.calls.balancing); },
              {"peak_ewma", "load_aware"},
              0},
          "Balancing of services whose source states no policy, as documents do. load_aware takes the "
@@ -232,20 +240,24 @@
 
         {"logging.level",
          choice_entry{[](daemon_settings& s, std::size_t i) { s.logging.level = static_cast<log_level>(i); },
+                      [](const daemon_settings& s) { return static_cast<std::size_t>(s.logging.level); },
                       {"debug", "info", "warning", "error"},
                       1},
          "Minimum level of events that are written to standard output."},
 
         {"baseline.log_reading",
-         choice_entry{[](daemon_settings& s, std::size_t i) {
-                          s.baseline.log_reading = static_cast<log_reading_mode>(i);
-                      },
-                      {"roles", "every_daemon"},
-                      0},
+         choice_entry{
+             [](daemon_settings& s, std::size_t i) {
+                 s.baseline.log_reading = static_cast<log_reading_mode>(i);
+             },
+             [](const daemon_settings& s) { return static_cast<std::size_t>(s.baseline.log_reading); },
+             {"roles", "every_daemon"},
+             0},
          "Which daemons read the platform log: two of a failure domain, or every daemon."},
         {"baseline.admission",
          choice_entry{
              [](daemon_settings& s, std::size_t i) { s.baseline.admission = static_cast<admission_mode>(i); },
+             [](const daemon_settings& s) { return static_cast<std::size_t>(s.baseline.admission); },
              {"on", "off_shared_fifo"},
              0},
          "Admission to the local target: with classes, deadlines and fairness, or a single queue in order of "
--- a/packages/settings/src/entries.hpp
+++ b/packages/settings/src/entries.hpp
@@ -29,11 +29,12 @@
     std::string_view default_value;
 };
 
+/// `ADDRESS:PORT` that may be omitted or empty.
 struct optional_endpoint_entry {
     field_accessor<std::optional<endpoint>> field;
 };
 
-/// Name that may be omitted.
+/// Name that may be omitted or empty.
 struct optional_name_entry {
     field_accessor<std::optional<std::string>> field;
 };
@@ -93,6 +94,7 @@
 /// One of several fixed values; `default_value` is the index of the default.
 struct choice_entry {
     void (*set)(daemon_settings&, std::size_t index);
+    std::size_t (*get)(const daemon_settings&);
     std::vector<std::string_view> values;
     std::size_t default_value = 0;
 };
--- a/packages/settings/src/load.cpp
+++ b/packages/settings/src/load.cpp
@@ -107,7 +107,16 @@
 
     value_error operator()(const name_entry& kind) const { return read_name(kind.field(settings)); }
 
+    /// A template whose placeholder has no value leaves an empty text.
+    bool is_empty_text() const {
+        const auto* text = node.as_string();
+        return text != nullptr && text->get().empty();
+    }
+
     value_error operator()(const optional_name_entry& kind) const {
+        if (is_empty_text()) {
+            return std::nullopt;
+        }
         std::string value;
         if (auto error = read_name(value)) {
             return error;
@@ -121,6 +130,9 @@
     }
 
     value_error operator()(const optional_endpoint_entry& kind) const {
+        if (is_empty_text()) {
+            return std::nullopt;
+        }
         endpoint value;
         if (auto error = read_endpoint(node, value)) {
             return error;
--- a/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
@@ -48,6 +48,7 @@
     settings_baseline_active = 1103,
     settings_reloaded = 1104,
     settings_terms_unreadable = 1105,
+    settings_term_replaced = 1106,
 
     log_reader_started = 1201,
     log_reader_stopped = 1202,
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -6,12 +6,12 @@
 #include "document_quota.hpp"
 #include "document_registry.hpp"
 #include "document_rollout.hpp"
+#include "document_settings.hpp"
 #include "forwarding_limits.hpp"
 
 #include "boragehollow/codec/member_codec.hpp"
 #include "boragehollow/common/overloaded.hpp"
 #include "boragehollow/daemon/target_views.hpp"
-#include "boragehollow/platform/contracts.hpp"
 #include "boragehollow/platform/document_codec.hpp"
 #include "boragehollow/platform/document_reader.hpp"
 #include "boragehollow/platform/header_names.hpp"
@@ -304,7 +304,7 @@
     admission::instance_tracker_settings tracker_settings;
     tracker_settings.service = settings.target.service.value_or("");
     tracker_settings.address = settings.target.address;
-    tracker_settings.silence_timeout = settings.timing.heartbeat * settings.timing.missed_heartbeats;
+    tracker_settings.silence_timeout = silence_timeout_of(settings.timing);
     instance_sinks sinks;
     sinks.changed =
         when_components_ready(daemon, [&daemon](const std::optional<admission::current_instance>& instance) {
@@ -427,14 +427,11 @@
         return tl::unexpected<std::string>(
             "platform.log is required where the configuration comes as documents");
     }
-    settings::daemon_settings effective_settings = settings;
-    const auto contracts = platform::apply_contracts(effective_settings);
-    auto daemon = std::make_unique<components>(std::move(effective_settings));
+    const settings_with_terms applied = apply_platform_terms(settings);
+    auto daemon = std::make_unique<components>(applied.settings);
     daemon->events.emit(event_number::daemon_starting,
                         {{"failure_domain", settings.identity.failure_domain}});
-    if (!contracts) {
-        daemon->events.emit(event_number::settings_terms_unreadable, {{"detail", contracts.error()}});
-    }
+    report_terms(applied, daemon->events);
     auto socket = transport::udp_socket::bind(settings.listeners.gossip);
     if (!socket) {
         return tl::unexpected("gossip listener: " + transport::to_string(socket.error()));
--- a/programs/boragehollowd/document_pipeline.hpp
+++ b/programs/boragehollowd/document_pipeline.hpp
@@ -25,6 +25,11 @@
     /// Bound addresses, with the ports that the system chose.
     settings::listener_settings listeners() const;
 
+    /// Puts into force what can change while the daemon runs: the log level and the target's heartbeat
+    /// interval. An event names the changed entries that take effect at the next start. Calls must not
+    /// overlap.
+    void reload(const settings::daemon_settings& settings);
+
     /// Announces the departure, continues to serve until callers have stopped sending new work, leaves the
     /// mesh and waits for the last call.
     void drain();
--- a/programs/boragehollowd/document_pipeline_components.hpp
+++ b/programs/boragehollowd/document_pipeline_components.hpp
@@ -45,6 +45,8 @@
 
     // Shared by all duties.
     settings::daemon_settings settings;
+    settings::daemon_settings running_settings =
+        settings; ///< After the last reload. Accessed by its caller only.
     const common::steady_time started = common::steady_clock::now();
     std::latch components_ready{1}; ///< Sinks wait for it, since the duties start one after the other.
     std::shared_ptr<common::hybrid_clock> clock = std::make_shared<common::hybrid_clock>();
--- a/programs/boragehollowd/main.cpp
+++ b/programs/boragehollowd/main.cpp
@@ -11,7 +11,9 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace {
 
@@ -27,16 +29,16 @@
     return static_cast<boragehollow::telemetry::event_level>(level);
 }
 
-/// Reloads the log level. All other settings take effect at the next start.
-void reload_log_level(const std::string& file) {
-    const auto settings = boragehollow::settings::load_settings(file);
-    if (!settings) {
-        for (const auto& fault : settings.error()) {
-            std::cerr << boragehollow::settings::to_string(fault, file) << '\n';
-        }
-        return;
+/// Reads the settings file and prints its errors, if there are any.
+std::optional<boragehollow::settings::daemon_settings> read_settings(const std::string& file) {
+    auto settings = boragehollow::settings::load_settings(file);
+    if (settings) {
+        return std::move(*settings);
+    }
+    for (const auto& fault : settings.error()) {
+        std::cerr << boragehollow::settings::to_string(fault, file) << '\n';
     }
-    boragehollow::telemetry::log_session::set_level(level_of(settings->logging.level));
+    return std::nullopt;
 }
 
 /// Blocks the signals in all threads that are started later; the main thread waits for them.
@@ -51,7 +53,7 @@
     return signals;
 }
 
-/// Runs until a stop signal arrives. SIGHUP reloads the settings file and applies its log level.
+/// Runs until a stop signal arrives. SIGHUP reloads the settings file; one with errors changes nothing.
 template <class Pipeline>
 int run_pipeline(const boragehollow::settings::daemon_settings& settings, const std::string& file,
                  const sigset_t& signals) {
@@ -62,7 +64,9 @@
     }
     int signal = 0;
     while (sigwait(&signals, &signal) == 0 && signal == SIGHUP) {
-        reload_log_level(file);
+        if (const auto reloaded = read_settings(file)) {
+            (*pipeline)->reload(*reloaded);
+        }
     }
     (*pipeline)->drain();
     // No state is left to write, and joining idle HTTP workers can take longer than the platform waits for
@@ -101,14 +105,8 @@
         std::cerr << "boragehollowd: --settings FILE is required\n";
         return exit_usage;
     }
-    const auto settings = boragehollow::settings::load_settings(file);
-    if (!settings) {
-        for (const auto& fault : settings.error()) {
-            std::cerr << boragehollow::settings::to_string(fault, file) << '\n';
-        }
-        return exit_usage;
-    }
-    return run_daemon(*settings, file);
+    const auto settings = read_settings(file);
+    return settings ? run_daemon(*settings, file) : exit_usage;
 }
 
 } // namespace
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -3,9 +3,12 @@
 #include "conversions.hpp"
 #include "http_listeners.hpp"
 #include "pipeline_components.hpp"
+#include "settings_reload.hpp"
 #include "shutdown.hpp"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 #include <utility>
 
 // Creates and connects all duties of a daemon whose configuration comes from the platform log:
@@ -432,6 +435,14 @@
             m_components->target_server->local_endpoint(), std::nullopt};
 }
 
+void pipeline::reload(const settings::daemon_settings& settings) {
+    static constexpr std::array<std::string_view, 1> live_keys{"logging.level"};
+    components& daemon = *m_components;
+    set_log_level(settings.logging.level);
+    report_reload({daemon.settings, daemon.running_settings, settings}, live_keys, daemon.events);
+    daemon.running_settings = settings;
+}
+
 void pipeline::drain() {
     drain_daemon(*m_components);
 }
--- a/programs/boragehollowd/pipeline.hpp
+++ b/programs/boragehollowd/pipeline.hpp
@@ -25,6 +25,10 @@
     /// Bound addresses, with the ports that the system chose.
     settings::listener_settings listeners() const;
 
+    /// Puts the log level into force; an event names the changed entries that take effect at the next start.
+    /// Calls must not overlap.
+    void reload(const settings::daemon_settings& settings);
+
     /// Refuses new work and waits until the last call has ended, or until the drain limit if one is set.
     void drain();
 
--- a/programs/boragehollowd/pipeline_components.hpp
+++ b/programs/boragehollowd/pipeline_components.hpp
@@ -28,6 +28,8 @@
 
     // Shared by all duties.
     settings::daemon_settings settings;
+    settings::daemon_settings running_settings =
+        settings;                   ///< After the last reload. Accessed by its caller only.
     std::latch components_ready{1}; ///< Sinks wait for it, since the duties start one after the other.
     std::shared_ptr<common::hybrid_clock> clock = std::make_shared<common::hybrid_clock>();
     telemetry::metric_registry metrics;
