Acknowledge a departure only when it outlasts the daemon

Cause: the daemon acknowledged after 0.5 s although the save had failed, so that only its memory held the withdrawal; and its successor took an empty answer of the store for the whole history.

Change: a drain or departure is acknowledged when the store or another daemon has saved it (common::save_progress); otherwise the answer is 503 (BH1812) and the target's next announcement tries again. A daemon's entry in the member table holds the last two withdrawn instances; it is given to a member of the own and one of another failure domain, whose replies prove that they hold it, and gossip tells the rest. After a restart of the daemon the others tell its successor, which takes a single announcement only when the store and the mesh have told it. The first save of a process waits for its first lookup, since it would replace what the process before had saved.

--- a/packages/admission/include/boragehollow/admission/instance_tracker.hpp
+++ b/packages/admission/include/boragehollow/admission/instance_tracker.hpp
@@ -2,6 +2,7 @@
 
 #include "boragehollow/admission/messages.hpp"
 #include "boragehollow/common/endpoint.hpp"
+#include "boragehollow/common/withdrawn_instance.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,16 +39,7 @@
     bool operator==(const current_instance&) const = default;
 };
 
-/// An incarnation that must not receive new work again, since its drain or its end was acknowledged.
-struct withdrawn_instance {
-    std::string id;
-    std::uint64_t incarnation = 0;
-    /// The target departed before this daemon received its incarnation.
-    bool incarnation_unknown = false;
-    bool ended = false; ///< False while the incarnation drains.
-
-    bool operator==(const withdrawn_instance&) const = default;
-};
+using common::withdrawn_instance;
 
 /// The announcement changed or confirmed the state of the target.
 struct announcement_accepted {
@@ -74,8 +66,8 @@
 /// Tracks the current incarnation of the local target from its announcements. A delayed announcement must not
 /// restore an ended incarnation or an earlier state.
 ///
-/// A restarted daemon does not know which incarnations were withdrawn before. Until it has been told, one
-/// announcement may be a delayed one and only a second, later one makes the target available.
+/// A restarted daemon does not know which incarnations were withdrawn before. Until all who may know have
+/// told it, one announcement may be a delayed one and only a second, later one makes the target available.
 class instance_tracker {
 public:
     explicit instance_tracker(instance_tracker_settings settings) : m_settings(std::move(settings)) {}
@@ -86,10 +78,13 @@
     /// when not stated.
     bool record_departure(const std::string& id, std::uint64_t incarnation);
 
-    /// Adds the incarnations that were withdrawn before this process started; true when that changes the
-    /// current instance.
+    /// Adds incarnations that were withdrawn before this process started; true when that changes the current
+    /// instance.
     bool restore(const std::vector<withdrawn_instance>& withdrawn);
 
+    /// All who may know of earlier withdrawals have told; true when that changes the current instance.
+    bool complete_history();
+
     /// The latest withdrawn incarnations, for `restore` after a restart.
     std::vector<withdrawn_instance> latest_withdrawn() const;
 
--- a/packages/admission/src/instance_tracker.cpp
+++ b/packages/admission/src/instance_tracker.cpp
@@ -112,7 +112,6 @@
 
 bool instance_tracker::restore(const std::vector<withdrawn_instance>& withdrawn) {
     const auto before = current();
-    m_history_known = true;
     std::vector<withdrawn_instance> merged = withdrawn;
     std::erase_if(merged, [this](const withdrawn_instance& earlier) {
         const auto known = find_withdrawn(earlier.id);
@@ -131,6 +130,12 @@
     return before != current();
 }
 
+bool instance_tracker::complete_history() {
+    const auto before = current();
+    m_history_known = true;
+    return before != current();
+}
+
 std::vector<withdrawn_instance> instance_tracker::latest_withdrawn() const {
     const std::size_t count = std::min(m_withdrawn.size(), max_restored_instances);
     return {m_withdrawn.end() - static_cast<std::ptrdiff_t>(count), m_withdrawn.end()};
--- a/packages/codec/src/member_codec.cpp
+++ b/packages/codec/src/member_codec.cpp
@@ -23,6 +23,9 @@
 // Maximum length of a DNS name. The size budget of a datagram assumes much shorter names.
 constexpr std::size_t max_name_bytes = 253;
 
+// Twice what a daemon keeps for a host: as recorded and in the host's entry.
+constexpr std::size_t max_withdrawn_instances = 16;
+
 // Bounds the arithmetic with a received age. A configuration that was confirmed so long ago counts as never
 // confirmed.
 constexpr std::chrono::milliseconds max_log_read_age = std::chrono::hours(1);
@@ -101,6 +104,31 @@
     return common::endpoint{message.address(), static_cast<std::uint16_t>(message.port())};
 }
 
+template <class Messages>
+void write_withdrawn(const std::vector<common::withdrawn_instance>& withdrawn, Messages& messages) {
+    for (const common::withdrawn_instance& each : withdrawn) {
+        peer::v1::WithdrawnInstance& message = *messages.Add();
+        message.set_id(each.id);
+        message.set_incarnation(each.incarnation);
+        message.set_incarnation_unknown(each.incarnation_unknown);
+        message.set_ended(each.ended);
+    }
+}
+
+/// The rest of the message holds if there are more than any daemon sends.
+template <class Messages>
+std::vector<common::withdrawn_instance> read_withdrawn(const Messages& messages) {
+    std::vector<common::withdrawn_instance> withdrawn;
+    for (const peer::v1::WithdrawnInstance& message : messages) {
+        if (withdrawn.size() == max_withdrawn_instances) {
+            break;
+        }
+        withdrawn.push_back(
+            {message.id(), message.incarnation(), message.incarnation_unknown(), message.ended()});
+    }
+    return withdrawn;
+}
+
 void write_member(const member& value, peer::v1::Member& message) {
     message.set_host(value.host);
     message.set_failure_domain(value.failure_domain);
@@ -110,6 +138,7 @@
     message.set_state(to_message(value.state));
     message.set_target_sequence(value.target_sequence);
     message.set_link_megabits(value.link_megabits);
+    write_withdrawn(value.withdrawn, *message.mutable_withdrawn());
     if (value.target == membership::target_announcement{}) {
         return;
     }
@@ -145,6 +174,7 @@
     value.target.state = *target;
     value.target_sequence = message.target_sequence();
     value.link_megabits = message.link_megabits();
+    value.withdrawn = read_withdrawn(message.withdrawn());
     return value;
 }
 
@@ -319,6 +349,7 @@
     message.mutable_bucket_hashes()->Add(value.bucket_hashes.begin(), value.bucket_hashes.end());
     message.mutable_wanted_entries()->Add(value.wanted_entries.begin(), value.wanted_entries.end());
     message.set_whole_table(value.whole_table);
+    message.set_withdrawn_of_host(value.withdrawn_of_host);
     for (const member_ref& entry : value.members) {
         write_member(*entry, *message.add_members());
     }
@@ -336,12 +367,14 @@
     return membership::sync_request{{message.bucket_hashes().begin(), message.bucket_hashes().end()},
                                     std::move(*members),
                                     {message.wanted_entries().begin(), message.wanted_entries().end()},
-                                    message.whole_table()};
+                                    message.whole_table(),
+                                    message.withdrawn_of_host()};
 }
 
 void write_sync_reply(const membership::sync_reply& value, peer::v1::SyncReply& message) {
     message.mutable_differing_buckets()->Add(value.differing_buckets.begin(), value.differing_buckets.end());
     message.mutable_entry_hashes()->Add(value.entry_hashes.begin(), value.entry_hashes.end());
+    write_withdrawn(value.withdrawn, *message.mutable_withdrawn());
     for (const member_ref& entry : value.members) {
         write_member(*entry, *message.add_members());
     }
@@ -359,7 +392,8 @@
     }
     return membership::sync_reply{{message.differing_buckets().begin(), message.differing_buckets().end()},
                                   {message.entry_hashes().begin(), message.entry_hashes().end()},
-                                  std::move(*members)};
+                                  std::move(*members),
+                                  read_withdrawn(message.withdrawn())};
 }
 
 } // namespace boragehollow::codec
--- a/packages/codec/tests/member_codec_test.cpp
+++ b/packages/codec/tests/member_codec_test.cpp
@@ -21,6 +21,7 @@
     value.target = {"order-desk", {{"version", "v1"}, {"zone", ""}}, 6, membership::target_state::draining};
     value.target_sequence = 9;
     value.link_megabits = 1'000'000;
+    value.withdrawn = {{"i-1", std::numeric_limits<std::uint64_t>::max(), false, true}, {"i-\xff", 0, true, false}};
     return value;
 }
 
@@ -51,6 +52,19 @@
     }
 }
 
+// Guards against a restarted daemon that is not told what its predecessor withdrew.
+TEST(member_codec, withdrawn_instances_survive_a_synchronization) {
+    const membership::sync_request request{{}, {}, {}, true, "host-1"};
+    peer::v1::SyncRequest request_message;
+    write_sync_request(request, request_message);
+    EXPECT_EQ(read_sync_request(request_message)->withdrawn_of_host, "host-1");
+
+    const membership::sync_reply reply{{}, {}, {}, sample_member().withdrawn};
+    peer::v1::SyncReply reply_message;
+    write_sync_reply(reply, reply_message);
+    EXPECT_EQ(read_sync_reply(reply_message)->withdrawn, reply.withdrawn);
+}
+
 // Guards against an overflow when a received age is subtracted from the present time.
 TEST(member_codec, a_log_read_of_absurd_age_is_ignored) {
     const membership::datagram value{"h", membership::ping{7, {42}}, {}, 0, membership::log_read{}};
--- a/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/membership_duty.hpp
@@ -4,6 +4,7 @@
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/hybrid_clock.hpp"
 #include "boragehollow/common/reply_slot.hpp"
+#include "boragehollow/common/save_progress.hpp"
 #include "boragehollow/common/traffic_counter.hpp"
 #include "boragehollow/daemon/mesh_view.hpp"
 #include "boragehollow/membership/membership_engine.hpp"
@@ -18,6 +19,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace boragehollow::daemon {
 
@@ -73,12 +75,18 @@
     common::steady_time read_at;
 };
 
+/// Instances of the local target were withdrawn; other daemons are to keep them for a restart of this one.
+struct instances_withdrawn {
+    std::vector<common::withdrawn_instance> withdrawn;
+    common::save_progress::attempt_ref attempt;
+};
+
 struct leave_mesh {};
 
 using membership_message =
     std::variant<datagram_received, local_announcement_changed, local_version_changed, sync_requested,
                  sync_replied, progress_requested, async_sync_requested, seeds_found, log_epoch_read,
-                 log_read_confirmed, leave_mesh>;
+                 log_read_confirmed, instances_withdrawn, leave_mesh>;
 
 /// Receivers of the membership duty's decisions. None of them may block.
 struct membership_sinks {
@@ -89,6 +97,12 @@
     std::function<void(std::shared_ptr<const mesh_view>)> mesh;
     /// A host reported the version that it has applied.
     std::function<void(const std::string& host, common::revision version)> version_observed;
+    /// Gives this daemon's entry to a member; the attempt succeeds when the member holds it. Optional.
+    std::function<void(const membership::member& keeper, membership::sync_request,
+                       const common::save_progress::attempt_ref&)>
+        replicate;
+    /// Another daemon told which instances of the local target were withdrawn before the start. Optional.
+    std::function<void(std::vector<common::withdrawn_instance>)> withdrawals_received;
     /// Another daemon observed a later epoch of the platform log than any known here. Optional.
     std::function<void(std::uint64_t epoch)> log_epoch_observed;
 };
@@ -124,6 +138,8 @@
     void run();
     void receive(const std::stop_token& stop);
     membership::membership_effects handle(membership_message& message, common::steady_time now);
+    /// Adds withdrawn instances to the own entry and gives it to members that can keep it.
+    membership::membership_effects replicate(const instances_withdrawn& message, common::steady_time now);
     void perform(const membership::membership_effects& effects, common::steady_time now);
     void send(const membership::send_datagram& effect);
     void report(const membership::member_event& event);
--- a/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/registry_duty.hpp
@@ -5,7 +5,7 @@
 #include "boragehollow/common/duty.hpp"
 #include "boragehollow/common/endpoint.hpp"
 #include "boragehollow/common/random_source.hpp"
-#include "boragehollow/common/reply_slot.hpp"
+#include "boragehollow/common/save_progress.hpp"
 #include "boragehollow/daemon/registry_schedule.hpp"
 #include "boragehollow/telemetry/event_log.hpp"
 
@@ -50,12 +50,13 @@
 /// Replaces what is saved of the withdrawn incarnations of this host's target.
 struct save_withdrawn {
     std::vector<admission::withdrawn_instance> withdrawn;
-    common::reply_slot<bool> saved;
+    common::save_progress::attempt_ref attempt; ///< Released when a later state replaces this one.
 };
 
 /// Thread that registers this daemon and looks up others in the registry when the schedule says so, and saves
-/// withdrawn incarnations. A save that fails is retried until it succeeds or a later one replaces it. After a
-/// restore of the platform log, it registers and saves again.
+/// withdrawn incarnations. A save that fails is retried until it succeeds or a later one replaces it. The
+/// first save follows the first lookup, as it would otherwise replace what a previous process saved. After a
+/// restore of the platform log, this duty registers and saves again.
 class registry_duty {
 public:
     registry_duty(registry_access access, registry_sinks sinks, common::random_source random,
--- a/packages/daemon/src/instance_duty.cpp
+++ b/packages/daemon/src/instance_duty.cpp
@@ -63,13 +63,21 @@
                                                      {"detail", rejected.reason}});
                                   }},
                result);
+    message.reply.set({result, progress_of_drain(message.announcement, result)});
+}
+
+std::optional<common::save_progress>
+instance_duty::progress_of_drain(const admission::instance_announcement& announcement,
+                                 const admission::announcement_result& result) {
     const auto* accepted = std::get_if<admission::announcement_accepted>(&result);
-    if (accepted != nullptr && accepted->withdrawn) {
-        m_sinks.save(m_tracker.latest_withdrawn(), message.saved);
-    } else {
-        message.saved.set(true);
+    if (accepted == nullptr || announcement.state != admission::target_state::draining) {
+        return std::nullopt;
     }
-    message.reply.set(result);
+    // A target repeats the announcement until it is acknowledged.
+    if (accepted->withdrawn || !m_saved.succeeded()) {
+        save_withdrawn();
+    }
+    return m_saved;
 }
 
 void instance_duty::handle(const instance_departed& message, common::steady_time) {
@@ -77,19 +85,29 @@
         m_events.emit(event_number::target_left, {{"instance", message.id}, {"reason", "announced"}});
         publish_current();
     }
-    m_sinks.save(m_tracker.latest_withdrawn(), message.saved);
-    message.reply.set(true);
+    save_withdrawn();
+    message.reply.set(m_saved);
 }
 
 void instance_duty::handle(const history_restored& message, common::steady_time) {
-    m_events.emit(event_number::target_history_restored, {{"withdrawn", message.withdrawn.size()}});
-    if (m_tracker.restore(message.withdrawn)) {
+    const bool from_log = message.source == history_source::log;
+    bool& told = from_log ? m_log_told : m_mesh_told;
+    if (!std::exchange(told, true)) {
+        m_events.emit(event_number::target_history_restored,
+                      {{"withdrawn", message.withdrawn.size()}, {"source", from_log ? "log" : "mesh"}});
+    }
+    bool changed = m_tracker.restore(message.withdrawn);
+    if (m_log_told && m_mesh_told) {
+        changed = m_tracker.complete_history() || changed;
+    }
+    if (changed) {
         publish_current();
     }
-    auto merged = m_tracker.latest_withdrawn();
-    if (merged != message.withdrawn) {
-        // Something was withdrawn and saved before the lookup, which replaced the earlier entries.
-        m_sinks.save(std::move(merged), {});
+    if (from_log) {
+        m_last_saved = message.withdrawn;
+    }
+    if (m_tracker.latest_withdrawn() != m_last_saved) {
+        save_withdrawn();
     }
 }
 
@@ -104,6 +122,12 @@
     m_tracker.set_silence_timeout(message.timeout);
 }
 
+void instance_duty::save_withdrawn() {
+    m_last_saved = m_tracker.latest_withdrawn();
+    m_saved = common::save_progress();
+    m_sinks.save(m_last_saved, m_saved);
+}
+
 void instance_duty::publish_current() {
     const auto current = m_tracker.current();
     if (current) {
--- a/packages/daemon/src/membership_duty.cpp
+++ b/packages/daemon/src/membership_duty.cpp
@@ -179,10 +179,22 @@
                            [&](const log_read_confirmed& confirmed) {
                                return m_engine.confirm_log_read(confirmed.read_at, now);
                            },
+                           [&](const instances_withdrawn& withdrawn) { return replicate(withdrawn, now); },
                            [&](const leave_mesh&) { return m_engine.leave(now); }},
         message);
 }
 
+membership::membership_effects membership_duty::replicate(const instances_withdrawn& message,
+                                                          common::steady_time now) {
+    membership::membership_effects effects = m_engine.set_withdrawn(message.withdrawn, now);
+    if (m_sinks.replicate) {
+        for (const membership::member_ref& keeper : m_engine.pick_keepers()) {
+            m_sinks.replicate(*keeper, m_engine.own_entry(), message.attempt);
+        }
+    }
+    return effects;
+}
+
 void membership_duty::perform(const membership::membership_effects& effects, common::steady_time now) {
     bool view_changed = false;
     for (const membership::membership_effect& effect : effects) {
@@ -195,6 +207,11 @@
                                                             m_engine.has_whole_table());
                                       },
                                       [&](const membership::substitution_changed&) { view_changed = true; },
+                                      [&](const membership::own_withdrawals_received& received) {
+                                          if (m_sinks.withdrawals_received) {
+                                              m_sinks.withdrawals_received(received.withdrawn);
+                                          }
+                                      },
                                       [&](const membership::member_event& event) {
                                           view_changed = true;
                                           report(event);
--- a/packages/daemon/src/registry_duty.cpp
+++ b/packages/daemon/src/registry_duty.cpp
@@ -34,7 +34,7 @@
 void registry_duty::run(const std::stop_token& stop) {
     while (!stop.stop_requested()) {
         repeat_writes_after_restore();
-        if (m_unsaved && common::steady_clock::now() >= m_save_at) {
+        if (m_unsaved && m_restored && common::steady_clock::now() >= m_save_at) {
             save(stop);
             continue;
         }
@@ -50,14 +50,11 @@
 
 /// Waits for a message, but not beyond the time of the next save.
 void registry_duty::wait_until(common::steady_time end) {
-    auto message = m_ring.pop_until(m_unsaved ? std::min(end, m_save_at) : end);
+    auto message = m_ring.pop_until(m_unsaved && m_restored ? std::min(end, m_save_at) : end);
     if (!message) {
         return;
     }
-    if (m_unsaved) {
-        // The later state contains what the earlier one withdrew.
-        m_unsaved->saved.set(false);
-    }
+    // The later state contains what the earlier one withdrew.
     m_unsaved = std::move(*message);
     m_save_at = common::steady_clock::now();
 }
@@ -86,11 +83,12 @@
     }
     if (!saved) {
         m_events.emit(event_number::target_history_unsaved, {{"detail", saved.error()}});
-        m_unsaved->saved.set(false);
         m_save_at = common::steady_clock::now() + save_retry_interval;
         return;
     }
-    m_unsaved->saved.set(true);
+    if (m_unsaved->attempt) {
+        m_unsaved->attempt->succeed();
+    }
     m_last_saved = std::move(m_unsaved->withdrawn);
     m_unsaved.reset();
 }
--- a/packages/membership/include/boragehollow/membership/member.hpp
+++ b/packages/membership/include/boragehollow/membership/member.hpp
@@ -2,11 +2,13 @@
 
 #include "boragehollow/common/endpoint.hpp"
 #include "boragehollow/common/time.hpp"
+#include "boragehollow/common/withdrawn_instance.hpp"
 
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace boragehollow::membership {
 
@@ -34,9 +36,11 @@
     std::uint64_t incarnation = 0;
     member_state state = member_state::alive;
     target_announcement target{};
-    /// Incremented with each change of the announcement within an incarnation.
+    /// Incremented with each change of the announcement or of the withdrawn instances within an incarnation.
     std::uint64_t target_sequence = 0;
     std::uint32_t link_megabits = 0; ///< Bandwidth of the host's link, in Mbit/s; 0 when not stated.
+    /// The last incarnations of the host's target that were withdrawn, the latest last.
+    std::vector<common::withdrawn_instance> withdrawn{};
 
     bool operator==(const member&) const = default;
 };
--- a/packages/membership/include/boragehollow/membership/membership_engine.hpp
+++ b/packages/membership/include/boragehollow/membership/membership_engine.hpp
@@ -13,6 +13,7 @@
 #include "boragehollow/membership/target_directory.hpp"
 #include "boragehollow/membership/target_directory_builder.hpp"
 #include "boragehollow/membership/version_floors.hpp"
+#include "boragehollow/membership/withdrawal_records.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -65,8 +66,13 @@
     member_ref value;
 };
 
-using membership_effect =
-    std::variant<send_datagram, start_sync, directory_changed, substitution_changed, member_event>;
+/// Another daemon has told which instances of the local target were withdrawn before this process started.
+struct own_withdrawals_received {
+    std::vector<common::withdrawn_instance> withdrawn;
+};
+
+using membership_effect = std::variant<send_datagram, start_sync, directory_changed, substitution_changed,
+                                       member_event, own_withdrawals_received>;
 using membership_effects = std::vector<membership_effect>;
 
 struct sync_request_result {
@@ -128,6 +134,17 @@
     membership_effects receive(const datagram& received, const common::endpoint& from,
                                common::steady_time now);
     membership_effects announce_local_target(target_announcement announcement, common::steady_time now);
+    /// Adds the withdrawn instances of the local target, the latest last, to this daemon's entry, so that
+    /// they survive this process; as many of the latest as an entry may hold.
+    membership_effects set_withdrawn(const std::vector<common::withdrawn_instance>& withdrawn,
+                                     common::steady_time now);
+    /// Members that can keep this daemon's entry: one of its failure domain and one of another, if there are
+    /// any.
+    std::vector<member_ref> pick_keepers();
+    /// Request that gives this daemon's entry to a member. The member holds it if the reply has no other
+    /// entry of this host.
+    sync_request own_entry() const { return {{}, {m_self}, {}, false, {}}; }
+
     membership_effects set_applied_version(common::revision applied, common::steady_time now);
 
     /// Later datagrams carry this epoch of the platform log, unless a higher one is known.
@@ -209,6 +226,7 @@
                                 common::steady_time now);
     void apply_all(const std::vector<member_ref>& received, bool gossip, common::steady_time now,
                    membership_effects& effects);
+    std::vector<common::withdrawn_instance> withdrawn_of(const std::string& host) const;
     common::steady_time first_seen_of(const member& value, common::steady_time now) const;
 
     // Reads of the platform's log (membership_engine_log_reads.cpp).
@@ -256,6 +274,9 @@
     std::size_t transmissions() const;
     bool is_own_domain(const member& value) const { return value.failure_domain == m_self->failure_domain; }
     bool has_left() const { return m_self->state == member_state::left; }
+    /// True while other daemons may know of withdrawn instances of the local target that this one does not
+    /// know of.
+    bool misses_withdrawals() const { return !m_has_whole_table || m_startup_syncs > 0; }
 
     member_ref m_self;
     std::vector<common::endpoint> m_seeds;
@@ -273,6 +294,7 @@
     member_table m_table;
     target_directory_builder m_targets;
     version_floors m_floors;
+    withdrawal_records m_withdrawals;
     progress_collector m_collector;
     std::optional<domain_roles> m_roles;
     gossip_queue m_queue;
--- a/packages/membership/include/boragehollow/membership/synchronization.hpp
+++ b/packages/membership/include/boragehollow/membership/synchronization.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace boragehollow::membership {
@@ -20,12 +21,15 @@
     std::vector<member_ref> members;
     std::vector<std::uint64_t> wanted_entries;
     bool whole_table = false; ///< A starting daemon requests all entries, including recent tombstones.
+    /// Host whose withdrawn instances the sender requests; empty once it knows them.
+    std::string withdrawn_of_host{};
 };
 
 struct sync_reply {
     std::vector<std::uint32_t> differing_buckets;
     std::vector<std::uint64_t> entry_hashes;
     std::vector<member_ref> members;
+    std::vector<common::withdrawn_instance> withdrawn{}; ///< Of the host that the request names.
 };
 
 } // namespace boragehollow::membership
--- a/packages/membership/src/datagram.cpp
+++ b/packages/membership/src/datagram.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t endpoint_overhead = 8;
 constexpr std::size_t group_overhead = 20;
 constexpr std::size_t label_overhead = 8;
+constexpr std::size_t withdrawn_overhead = 24;
 constexpr std::size_t body_overhead = 32;
 // Protocol number, hybrid timestamp, log epoch and a mesh name of 64 bytes.
 constexpr std::size_t header_overhead = 107;
@@ -43,6 +44,9 @@
     for (const auto& [name, text] : value.target.labels) {
         size += label_overhead + name.size() + text.size();
     }
+    for (const common::withdrawn_instance& each : value.withdrawn) {
+        size += withdrawn_overhead + each.id.size();
+    }
     return size;
 }
 
--- a/packages/membership/src/member_table.cpp
+++ b/packages/membership/src/member_table.cpp
@@ -22,8 +22,11 @@
     }
     member joined = left.target_sequence >= right.target_sequence ? left : right;
     joined.state = std::max(left.state, right.state);
-    // A daemon of an older release passes entries on without the bandwidth.
+    // A daemon of an older release passes entries on without the bandwidth and the withdrawn instances.
     joined.link_megabits = std::max(left.link_megabits, right.link_megabits);
+    if (left.target_sequence == right.target_sequence && joined.withdrawn.empty()) {
+        joined.withdrawn = right.withdrawn;
+    }
     return joined;
 }
 
--- a/packages/membership/src/membership_engine.cpp
+++ b/packages/membership/src/membership_engine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 #include <iterator>
 #include <set>
 #include <utility>
@@ -16,6 +17,8 @@
 // Urgent changes within this delay are sent in the same round of pushes.
 constexpr std::chrono::milliseconds push_delay{20};
 constexpr std::size_t max_members_for_joiner = 4;
+// A delayed announcement is seconds late, so that it is of one of the last incarnations.
+constexpr std::size_t max_withdrawn_in_entry = 2;
 constexpr std::chrono::seconds relayed_probe_timeout{1};
 // The refutation reaches every member that could still hold the suspicion within this time.
 constexpr std::chrono::seconds self_inclusion_period{3};
@@ -27,7 +30,9 @@
     const bool starts_leaving = target_leaves && (!change.before || change.before->target != after.target);
     const bool was_suspected_or_dead = change.before && change.before->state != member_state::alive;
     const bool refuted = was_suspected_or_dead && after.state == member_state::alive;
-    return is_tombstone(after) || starts_leaving || refuted;
+    const bool withdraws =
+        !after.withdrawn.empty() && (!change.before || change.before->withdrawn != after.withdrawn);
+    return is_tombstone(after) || starts_leaving || refuted || withdraws;
 }
 
 std::optional<member_event_kind> event_of(const merge_result& change) {
@@ -210,6 +215,9 @@
 void membership_engine::apply_change(const merge_result& change, common::steady_time now,
                                      membership_effects& effects) {
     update_member_lists(change, now);
+    if (change.before && !same_process(change.before->incarnation, change.after->incarnation)) {
+        m_withdrawals.record(change.before->host, change.before->withdrawn, now);
+    }
     if (m_targets.update(change.after, first_seen_of(*change.after, now), now)) {
         mark_directory_changed(now);
     }
@@ -323,6 +331,34 @@
     return effects;
 }
 
+membership_effects membership_engine::set_withdrawn(const std::vector<common::withdrawn_instance>& withdrawn,
+                                                    common::steady_time now) {
+    member changed = *m_self;
+    const std::size_t count = std::min(withdrawn.size(), max_withdrawn_in_entry);
+    changed.withdrawn.assign(withdrawn.end() - static_cast<std::ptrdiff_t>(count), withdrawn.end());
+    while (!changed.withdrawn.empty() && estimated_size(changed) > max_member_bytes) {
+        changed.withdrawn.erase(changed.withdrawn.begin());
+    }
+    membership_effects effects;
+    if (changed.withdrawn == m_self->withdrawn) {
+        return effects;
+    }
+    ++changed.target_sequence;
+    m_self = std::make_shared<const member>(std::move(changed));
+    publish_self(now, effects);
+    return effects;
+}
+
+std::vector<member_ref> membership_engine::pick_keepers() {
+    std::vector<member_ref> keepers;
+    for (const probe_order* members : {&m_own_domain_members, &m_other_domain_members}) {
+        for (const std::string& host : members->pick(1, m_self->host, m_random)) {
+            keepers.push_back(m_table.find(host));
+        }
+    }
+    return keepers;
+}
+
 membership_effects membership_engine::set_applied_version(common::revision applied, common::steady_time now) {
     membership_effects effects;
     if (applied <= m_applied) {
--- a/packages/membership/src/membership_engine_sync.cpp
+++ b/packages/membership/src/membership_engine_sync.cpp
@@ -20,6 +20,9 @@
 
 sync_request membership_engine::begin_sync() const {
     sync_request request;
+    if (misses_withdrawals()) {
+        request.withdrawn_of_host = m_self->host;
+    }
     if (!m_has_whole_table) {
         request.whole_table = true;
         request.members.push_back(m_self);
@@ -48,6 +51,9 @@
                                                            common::steady_time now) {
     sync_request_result result;
     apply_all(request.members, true, now, result.effects);
+    if (!request.withdrawn_of_host.empty()) {
+        result.reply.withdrawn = withdrawn_of(request.withdrawn_of_host);
+    }
     if (request.whole_table) {
         for (member_ref& value : m_table.entries()) {
             if (!is_tombstone(*value)) {
@@ -94,9 +100,20 @@
     return result;
 }
 
+std::vector<common::withdrawn_instance> membership_engine::withdrawn_of(const std::string& host) const {
+    std::vector<common::withdrawn_instance> withdrawn = m_withdrawals.of_host(host);
+    if (const member_ref known = m_table.find(host)) {
+        withdrawn.insert(withdrawn.end(), known->withdrawn.begin(), known->withdrawn.end());
+    }
+    return withdrawn;
+}
+
 sync_reply_result membership_engine::handle_sync_reply(const sync_reply& reply, common::steady_time now) {
     sync_reply_result result;
     sync_request next;
+    if (misses_withdrawals()) {
+        result.effects.push_back(own_withdrawals_received{reply.withdrawn});
+    }
     apply_all(reply.members, m_has_whole_table, now, result.effects);
     if (!m_has_whole_table && !reply.members.empty()) {
         m_has_whole_table = true;
--- a/packages/membership/src/membership_engine_timers.cpp
+++ b/packages/membership/src/membership_engine_timers.cpp
@@ -345,6 +345,7 @@
     }
     m_next_expiry = now + expiry_interval;
     m_floors.expire(now);
+    m_withdrawals.expire(now);
     for (const member_ref& expired : m_table.expire(now)) {
         std::erase(m_dead, expired->host);
     }
--- a/packages/membership/tests/member_table_test.cpp
+++ b/packages/membership/tests/member_table_test.cpp
@@ -20,6 +20,10 @@
     value.target_sequence = random.index(3);
     // As in a real mesh, equal incarnation and sequence mean an equal announcement.
     value.target = {"s", {}, static_cast<std::uint32_t>(value.target_sequence), target_state::ready};
+    if (random.index(2) == 0) {
+        // A daemon of an older release passes entries on without these.
+        value.withdrawn = {{"i", value.target_sequence, false, true}};
+    }
     return std::make_shared<const member>(value);
 }
 
--- a/packages/membership/tests/simulated_network.cpp
+++ b/packages/membership/tests/simulated_network.cpp
@@ -115,6 +115,10 @@
                        [&](const directory_changed&) {},
                        [&](const substitution_changed&) {},
                        [&](const member_event& reported) { from.events.push_back(reported); },
+                       [&](const own_withdrawals_received& received) {
+                           from.told.insert(from.told.end(), received.withdrawn.begin(),
+                                            received.withdrawn.end());
+                       },
                    },
                    effect);
     }
--- a/packages/membership/tests/simulated_network.hpp
+++ b/packages/membership/tests/simulated_network.hpp
@@ -25,6 +25,7 @@
         bool passive = false;                        ///< Replies to messages, but runs no timers.
         std::vector<std::function<void()>> deferred; ///< Messages that arrived during a pause.
         std::vector<member_event> events;
+        std::vector<common::withdrawn_instance> told; ///< What other daemons told of an earlier process.
         std::size_t datagram_bytes = 0;
         std::size_t sync_bytes = 0;
         std::size_t received_bytes = 0;
--- a/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_catalogue.hpp
@@ -140,6 +140,7 @@
     target_left = 1809,
     target_history_restored = 1810,
     target_history_unsaved = 1811,
+    target_withdrawal_unconfirmed = 1812,
 
     operator_change_accepted = 1901,
     operator_change_rejected = 1902,
--- a/packages/telemetry/src/event_catalogue.cpp
+++ b/packages/telemetry/src/event_catalogue.cpp
@@ -214,10 +214,12 @@
      "The target on this host departed, missed its heartbeats or refused a connection."},
     {event::target_history_restored, info, channel::target, "target_history_restored",
      "The drains and departures of targets on this host that an earlier process acknowledged were read from "
-     "the "
-     "platform."},
+     "the platform, or were told by another daemon (field `source`)."},
     {event::target_history_unsaved, warning, channel::target, "target_history_unsaved",
-     "The platform did not save an acknowledged drain or departure; the save is retried."},
+     "The platform did not save a drain or departure; the save is retried."},
+    {event::target_withdrawal_unconfirmed, warning, channel::target, "target_withdrawal_unconfirmed",
+     "A drain or departure was not acknowledged, since neither the platform nor another daemon has saved "
+     "it."},
     {event::operator_change_accepted, info, channel::operators, "operator_change_accepted",
      "An operator's change was accepted and appended."},
     {event::operator_change_rejected, info, channel::operators, "operator_change_rejected",
--- a/programs/boragehollowd/document_listeners.cpp
+++ b/programs/boragehollowd/document_listeners.cpp
@@ -16,9 +16,8 @@
 constexpr std::size_t operator_threads = 3;
 constexpr std::chrono::milliseconds host_read_timeout{4'000};
 
-/// Time for which the acknowledgement of a drain or a departure waits for the platform to save it. A target
-/// waits one second for the acknowledgement, and it has to get one also while the platform is away; the save
-/// is retried then.
+/// Time for which the acknowledgement of a drain or a departure waits until it is saved. A target waits one
+/// second for the acknowledgement. Without one it announces the same again, and the save is retried.
 constexpr std::chrono::milliseconds max_save_time{500};
 
 bool ready_for_calls(const document_pipeline::components& daemon) {
@@ -27,33 +26,39 @@
                     common::steady_clock::now());
 }
 
+bool is_saved(const document_pipeline::components& daemon, const common::save_progress& progress,
+              common::steady_time deadline) {
+    const bool saved = progress.wait_until(deadline);
+    if (!saved) {
+        daemon.events.emit(event_number::target_withdrawal_unconfirmed);
+    }
+    return saved;
+}
+
 platform::host_frontend_callbacks make_host_callbacks(document_pipeline::components& daemon) {
     platform::host_frontend_callbacks callbacks;
     callbacks.announce = [&daemon](admission::instance_announcement announcement) {
         const common::steady_time save_deadline = deadline_after(max_save_time);
-        instance_announced message{std::move(announcement), {}, {}};
+        instance_announced message{std::move(announcement), {}};
         const auto reply = message.reply;
-        const auto saved = message.saved;
         if (!daemon.instance->ring().try_push(instance_message(std::move(message)))) {
             return std::optional<admission::announcement_result>();
         }
-        auto result = reply.wait_until(deadline_after(control_timeout));
-        if (result) {
-            saved.wait_until(save_deadline);
+        const auto replied = reply.wait_until(deadline_after(control_timeout));
+        if (!replied || (replied->saved && !is_saved(daemon, *replied->saved, save_deadline))) {
+            return std::optional<admission::announcement_result>();
         }
-        return result;
+        return std::optional(replied->result);
     };
     callbacks.leave = [&daemon](const std::string& id, std::uint64_t incarnation) {
         const common::steady_time save_deadline = deadline_after(max_save_time);
-        instance_departed message{id, incarnation, {}, {}};
+        instance_departed message{id, incarnation, {}};
         const auto reply = message.reply;
-        const auto saved = message.saved;
-        if (!daemon.instance->ring().try_push(instance_message(std::move(message))) ||
-            !reply.wait_until(deadline_after(control_timeout)).value_or(false)) {
+        if (!daemon.instance->ring().try_push(instance_message(std::move(message)))) {
             return false;
         }
-        saved.wait_until(save_deadline);
-        return true;
+        const auto saved = reply.wait_until(deadline_after(control_timeout));
+        return saved && is_saved(daemon, *saved, save_deadline);
     };
     callbacks.ready = [&daemon] { return ready_for_calls(daemon); };
     callbacks.report_invalid = [&daemon](const std::string& detail) {
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -19,6 +19,7 @@
 #include <peer.pb.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 // Creates and connects all duties of a daemon whose configuration comes as documents:
@@ -193,13 +194,15 @@
     return message;
 }
 
-void send_sync_request(document_pipeline::components& daemon, const std::string& host,
-                       const common::endpoint& peer, const membership::sync_request& request) {
+/// Calls `receive` on the forwarder's thread with the reply; never if there is none.
+void request_sync(document_pipeline::components& daemon, const std::string& host,
+                  const common::endpoint& peer, const membership::sync_request& request,
+                  std::function<void(membership::sync_reply)> receive) {
     peer::v1::SyncRequest message;
     codec::write_sync_request(request, message);
     daemon.forwarder->post(forwarding::send_control_request{
         peer, sync_path, message.SerializeAsString(), control_timeout,
-        [&daemon, host, peer](std::optional<std::string> body) {
+        [&daemon, host, receive = std::move(receive)](std::optional<std::string> body) {
             peer::v1::SyncReply reply;
             if (!body || !reply.ParseFromString(*body)) {
                 return;
@@ -210,10 +213,35 @@
                                    {{"from", host}, {"detail", codec::to_string(decoded.error())}});
                 return;
             }
-            daemon.membership->ring().try_push(sync_replied{host, peer, std::move(*decoded)});
+            receive(std::move(*decoded));
         }});
 }
 
+void send_sync_request(document_pipeline::components& daemon, const std::string& host,
+                       const common::endpoint& peer, const membership::sync_request& request) {
+    request_sync(daemon, host, peer, request, [&daemon, host, peer](membership::sync_reply reply) {
+        daemon.membership->ring().try_push(sync_replied{host, peer, std::move(reply)});
+    });
+}
+
+/// Gives this daemon's entry to another daemon, which keeps its withdrawn instances for a restart of this
+/// one.
+void replicate_entry(document_pipeline::components& daemon, const membership::member& keeper,
+                     const membership::sync_request& entry,
+                     const common::save_progress::attempt_ref& attempt) {
+    request_sync(daemon, keeper.host, keeper.peer, entry,
+                 [&daemon, attempt, sent = entry.members.front(), host = keeper.host,
+                  peer = keeper.peer](membership::sync_reply reply) {
+                     // The reply has the keeper's own entry of this host if that differs from the sent one.
+                     if (std::ranges::all_of(reply.members, [&](const membership::member_ref& kept) {
+                             return kept->withdrawn == sent->withdrawn;
+                         })) {
+                         attempt->succeed();
+                     }
+                     daemon.membership->ring().try_push(sync_replied{host, peer, std::move(reply)});
+                 });
+}
+
 /// gossip socket -> membership -> forwarder (targets); store -> registry -> membership
 void start_membership_duties(document_pipeline::components& daemon, transport::udp_socket socket) {
     const settings::daemon_settings& settings = daemon.settings;
@@ -262,6 +290,15 @@
         });
     sinks.log_epoch_observed =
         when_components_ready(daemon, [&daemon](std::uint64_t epoch) { record_log_epoch(daemon, epoch); });
+    sinks.replicate = when_components_ready(
+        daemon, [&daemon](const membership::member& keeper, const membership::sync_request& entry,
+                          const common::save_progress::attempt_ref& attempt) {
+            replicate_entry(daemon, keeper, entry, attempt);
+        });
+    sinks.withdrawals_received =
+        when_components_ready(daemon, [&daemon](std::vector<common::withdrawn_instance> withdrawn) {
+            daemon.instance->ring().try_push(history_restored{history_source::mesh, std::move(withdrawn)});
+        });
     membership::membership_settings membership_settings = membership_settings_of(settings);
     membership_settings.version_fan_out_of_reader = version_fan_out_of_reader;
     membership_settings.version_fan_out = version_fan_out;
@@ -323,8 +360,9 @@
                                                  deadline_after(control_timeout));
         });
     sinks.save = when_components_ready(daemon, [&daemon](std::vector<admission::withdrawn_instance> withdrawn,
-                                                         const common::reply_slot<bool>& saved) {
-        daemon.registry->ring().push_newest(save_withdrawn{std::move(withdrawn), saved});
+                                                         const common::save_progress& progress) {
+        daemon.membership->ring().try_push(instances_withdrawn{withdrawn, progress.begin()});
+        daemon.registry->ring().push_newest(save_withdrawn{std::move(withdrawn), progress.begin()});
     });
     daemon.instance = std::make_unique<instance_duty>(std::move(tracker_settings), std::move(sinks),
                                                       instance_ring_size, daemon.events);
--- a/programs/boragehollowd/document_registry.cpp
+++ b/programs/boragehollowd/document_registry.cpp
@@ -24,6 +24,12 @@
 
 } // namespace
 
+void restore_history(document_pipeline::components& daemon, history_source source,
+                     std::vector<admission::withdrawn_instance> withdrawn) {
+    daemon.instance->ring().push_until(history_restored{source, std::move(withdrawn)},
+                                       deadline_after(control_timeout));
+}
+
 bool record_log_epoch(document_pipeline::components& daemon, std::uint64_t epoch) {
     std::uint64_t known = daemon.log_epoch.load();
     while (epoch > known && !daemon.log_epoch.compare_exchange_weak(known, epoch)) {
@@ -65,19 +71,23 @@
             },
             [&daemon] { return observe_mesh(daemon.mesh.load().get()); },
             [&daemon] { return daemon.log_epoch.load(); }},
-        registry_sinks{when_components_ready(daemon,
-                                             [&daemon](std::vector<common::endpoint> seeds) {
-                                                 daemon.registered_daemons = seeds.size();
-                                                 daemon.membership->ring().push_until(
-                                                     seeds_found{std::move(seeds)},
-                                                     deadline_after(control_timeout));
-                                             }),
-                       when_components_ready(daemon,
-                                             [&daemon](std::vector<admission::withdrawn_instance> withdrawn) {
-                                                 daemon.instance->ring().push_until(
-                                                     history_restored{std::move(withdrawn)},
-                                                     deadline_after(control_timeout));
-                                             })},
+        registry_sinks{
+            when_components_ready(daemon,
+                                  [&daemon](std::vector<common::endpoint> seeds) {
+                                      daemon.registered_daemons = seeds.size();
+                                      if (std::ranges::all_of(seeds, [&daemon](const common::endpoint& seed) {
+                                              return seed == daemon.gossip;
+                                          })) {
+                                          // No other daemon can know of a withdrawal.
+                                          restore_history(daemon, history_source::mesh, {});
+                                      }
+                                      daemon.membership->ring().push_until(seeds_found{std::move(seeds)},
+                                                                           deadline_after(control_timeout));
+                                  }),
+            when_components_ready(daemon,
+                                  [&daemon](std::vector<admission::withdrawn_instance> withdrawn) {
+                                      restore_history(daemon, history_source::log, std::move(withdrawn));
+                                  })},
         common::random_source::from_system(), daemon.events);
 }
 
