Accept the names that the platform chooses

Cause: the names of hosts, failure domains, regions and services in the settings, and of routes and services in the platform's documents, had to match the product's own grammar. The platform's pages state none.

The names in this product's own API and of a mesh are checked as before.

--- a/packages/config/include/boragehollow/config/limits.hpp
+++ b/packages/config/include/boragehollow/config/limits.hpp
@@ -25,6 +25,8 @@
 
 inline constexpr std::size_t max_identifier_length = 128;
 inline constexpr std::size_t max_name_length = 63;
+/// Of a name that a platform has chosen. It fits into a member entry and a header between daemons.
+inline constexpr std::size_t max_platform_name_length = 128;
 inline constexpr std::size_t max_host_length = 253;
 inline constexpr std::size_t max_path_length = 1'024;
 inline constexpr std::size_t max_methods = 16;
--- a/packages/config/include/boragehollow/config/validation.hpp
+++ b/packages/config/include/boragehollow/config/validation.hpp
@@ -17,8 +17,12 @@
     bool operator==(const field_error&) const = default;
 };
 
+/// Who chooses the names of resources. The operators of this product keep to `is_valid_name`; a platform has
+/// its own rules, so that all names without control characters are accepted.
+enum class name_source { product, platform };
+
 /// Returns all errors of one resource, in the order of its fields.
-std::vector<field_error> validate(const resource& value);
+std::vector<field_error> validate(const resource& value, name_source names = name_source::product);
 
 /// Returns the errors of the change id and the author. These fields are the same in every schema.
 std::vector<field_error> validate_header(const change& value);
--- a/packages/config/src/validation.cpp
+++ b/packages/config/src/validation.cpp
@@ -19,6 +19,11 @@
     return c > ' ' && c < '\x7f';
 }
 
+bool is_platform_name(std::string_view name) {
+    const auto is_control = [](char c) { return static_cast<unsigned char>(c) < ' ' || c == '\x7f'; };
+    return !name.empty() && name.size() <= max_platform_name_length && std::ranges::none_of(name, is_control);
+}
+
 std::string format_value(milliseconds value) {
     return std::to_string(value.count()) + "ms";
 }
@@ -39,6 +44,8 @@
 /// Collects the errors of one resource.
 class error_list {
 public:
+    explicit error_list(name_source names = name_source::product) : m_names(names) {}
+
     void add(std::string field, std::string detail) {
         m_errors.push_back({std::move(field), std::move(detail)});
     }
@@ -53,6 +60,13 @@
     }
 
     void check_name(const std::string& field, const std::string& value) {
+        if (m_names == name_source::platform) {
+            if (!is_platform_name(value)) {
+                add(field, "must have 1 to " + std::to_string(max_platform_name_length) +
+                               " bytes and no control characters");
+            }
+            return;
+        }
         if (is_valid_name(value)) {
             return;
         }
@@ -63,6 +77,7 @@
     std::vector<field_error> take() { return std::move(m_errors); }
 
 private:
+    name_source m_names;
     std::vector<field_error> m_errors;
 };
 
@@ -279,8 +294,8 @@
     return std::string(text.substr(0, length));
 }
 
-std::vector<field_error> validate(const resource& value) {
-    error_list errors;
+std::vector<field_error> validate(const resource& value, name_source names) {
+    error_list errors(names);
     std::visit([&errors](const auto& concrete) { check(concrete, errors); }, value);
     return errors.take();
 }
--- a/packages/config/src/versioned_config.cpp
+++ b/packages/config/src/versioned_config.cpp
@@ -52,7 +52,7 @@
         if (known != nullptr && known->value == value) {
             continue;
         }
-        const std::vector<field_error> errors = validate(value);
+        const std::vector<field_error> errors = validate(value, name_source::platform);
         if (!errors.empty()) {
             return tl::unexpected(describe(value, errors.front()));
         }
--- a/packages/config/tests/versioned_config_test.cpp
+++ b/packages/config/tests/versioned_config_test.cpp
@@ -40,6 +40,24 @@
     EXPECT_FALSE(activate_config(state).has_value());
 }
 
+// Guards against a version that is rejected by every daemon because the platform chose a name which the
+// product's own API would not accept.
+TEST(versioned_config, accepts_the_names_that_a_platform_chooses) {
+    for (const char* name : {"Orders", "orders/eu", "pedidos-ñ", "-", "two words", "\"quoted\""}) {
+        versioned_config state = valid_config();
+        state.services.push_back({.name = name});
+        state.routes.push_back({.name = name, .host = "b.example", .path_prefix = "/b", .service = name});
+        const auto active = activate_config(state);
+        ASSERT_TRUE(active.has_value()) << active.error();
+        EXPECT_TRUE(active->snapshot->has_service(name));
+    }
+    for (const std::string& name : {std::string(), std::string("line\nbreak"), std::string(129, 'x')}) {
+        versioned_config state = valid_config();
+        state.services.push_back({.name = name});
+        EXPECT_FALSE(activate_config(state).has_value()) << name;
+    }
+}
+
 // Guards against a removed route that stays active, and against a changed one that keeps its old content,
 // when the new version shares its resources with the previous one.
 TEST(versioned_config, a_version_that_follows_another_contains_its_own_resources_only) {
--- a/packages/settings/src/entries.cpp
+++ b/packages/settings/src/entries.cpp
@@ -37,11 +37,12 @@
     return {
         {"identity.mesh", name_entry{field<&root::identity, &identity_settings::mesh>},
          "Name of the mesh. Daemons of another mesh are refused."},
-        {"identity.host", name_entry{field<&root::identity, &identity_settings::host>},
+        {"identity.host", platform_name_entry{field<&root::identity, &identity_settings::host>},
          "Name of this host, unique in the mesh."},
-        {"identity.failure_domain", name_entry{field<&root::identity, &identity_settings::failure_domain>},
+        {"identity.failure_domain",
+         platform_name_entry{field<&root::identity, &identity_settings::failure_domain>},
          "Failure domain of this host."},
-        {"identity.region", name_entry{field<&root::identity, &identity_settings::region>},
+        {"identity.region", platform_name_entry{field<&root::identity, &identity_settings::region>},
          "Region of this host."},
 
         {"listeners.callers",
--- a/packages/settings/src/entries.hpp
+++ b/packages/settings/src/entries.hpp
@@ -23,6 +23,11 @@
     field_accessor<std::string> field;
 };
 
+/// Name that the platform of a host may have chosen: 1 to 128 bytes without control characters. Required.
+struct platform_name_entry {
+    field_accessor<std::string> field;
+};
+
 /// `ADDRESS:PORT`; an empty default means that the entry is required.
 struct endpoint_entry {
     field_accessor<endpoint> field;
@@ -34,7 +39,7 @@
     field_accessor<std::optional<endpoint>> field;
 };
 
-/// Name that may be omitted or empty.
+/// As `platform_name_entry`, but it may be omitted or empty.
 struct optional_name_entry {
     field_accessor<std::optional<std::string>> field;
 };
@@ -99,9 +104,10 @@
     std::size_t default_value = 0;
 };
 
-using entry_kind = std::variant<name_entry, optional_name_entry, endpoint_entry, optional_endpoint_entry,
-                                endpoint_list_entry, text_entry, size_entry, real_entry, count_entry,
-                                duration_entry, optional_duration_entry, flag_entry, choice_entry>;
+using entry_kind =
+    std::variant<name_entry, platform_name_entry, optional_name_entry, endpoint_entry,
+                 optional_endpoint_entry, endpoint_list_entry, text_entry, size_entry, real_entry,
+                 count_entry, duration_entry, optional_duration_entry, flag_entry, choice_entry>;
 
 struct entry {
     std::string_view key; ///< `section.name`.
--- a/packages/settings/src/load.cpp
+++ b/packages/settings/src/load.cpp
@@ -28,6 +28,10 @@
            c == '-' || c == '_';
 }
 
+bool is_control_character(char c) {
+    return static_cast<unsigned char>(c) < ' ' || c == '\x7f';
+}
+
 value_error read_text(const toml::node& node, std::string& text) {
     const auto* value = node.as_string();
     if (value == nullptr) {
@@ -105,8 +109,23 @@
         return std::nullopt;
     }
 
+    value_error read_platform_name(std::string& text) const {
+        if (auto error = read_text(node, text)) {
+            return error;
+        }
+        if (text.empty() || text.size() > max_name_length ||
+            std::ranges::any_of(text, is_control_character)) {
+            return "must have 1 to 128 bytes and no control characters";
+        }
+        return std::nullopt;
+    }
+
     value_error operator()(const name_entry& kind) const { return read_name(kind.field(settings)); }
 
+    value_error operator()(const platform_name_entry& kind) const {
+        return read_platform_name(kind.field(settings));
+    }
+
     /// A template whose placeholder has no value leaves an empty text.
     bool is_empty_text() const {
         const auto* text = node.as_string();
@@ -118,7 +137,7 @@
             return std::nullopt;
         }
         std::string value;
-        if (auto error = read_name(value)) {
+        if (auto error = read_platform_name(value)) {
             return error;
         }
         kind.field(settings) = std::move(value);
@@ -218,6 +237,7 @@
 bool set_default(const entry& each, daemon_settings& settings) {
     const auto set = overloaded{
         [](const name_entry&) { return false; },
+        [](const platform_name_entry&) { return false; },
         [&](const endpoint_entry& kind) {
             const auto default_value = common::parse_endpoint(kind.default_value);
             if (default_value) {
--- a/packages/settings/src/reference.cpp
+++ b/packages/settings/src/reference.cpp
@@ -25,13 +25,16 @@
         [](const name_entry&) {
             return entry_text{"name", "required"};
         },
+        [](const platform_name_entry&) {
+            return entry_text{"text", "required"};
+        },
         [](const endpoint_entry& each) {
             return entry_text{"`ADDRESS:PORT`", each.default_value.empty()
                                                     ? "required"
                                                     : code("\"" + std::string(each.default_value) + "\"")};
         },
         [](const optional_name_entry&) {
-            return entry_text{"name", "none"};
+            return entry_text{"text", "none"};
         },
         [](const optional_endpoint_entry&) {
             return entry_text{"`ADDRESS:PORT`", "none"};
--- a/packages/settings/tests/load_test.cpp
+++ b/packages/settings/tests/load_test.cpp
@@ -177,6 +177,21 @@
     }
 }
 
+// Guards against a daemon that does not start because the platform chose a name with other characters than
+// the examples have.
+TEST(load, accepts_the_names_that_a_platform_chooses) {
+    std::string text = minimal_settings;
+    text.replace(text.find("\"quito-norte-1\""), 15, "'Peñas \"1\"/a'");
+    const auto parsed = parse_settings(text + "[target]\nservice = 'Pedidos\\ñ'\n");
+    ASSERT_TRUE(parsed) << testing::PrintToString(errors_of(text));
+    EXPECT_EQ(parsed->identity.host, "Peñas \"1\"/a");
+    EXPECT_EQ(parsed->target.service, "Pedidos\\ñ");
+    text = minimal_settings;
+    text.replace(text.find("\"quito-norte-1\""), 15, "\"a\\nb\"");
+    EXPECT_THAT(errors_of(text),
+                ElementsAre("f:3: identity.host: must have 1 to 128 bytes and no control characters"));
+}
+
 // Guards against a template whose placeholder has no value, which leaves an empty text.
 TEST(load, empty_text_leaves_an_optional_entry_unset) {
     const auto parsed = parse_settings(minimal_settings + R"(readiness = ""
