Reject a request whose coding is not chunked

Cause: the parser takes such a request for one without a body, and nothing checked the field.

Change: a coding other than `chunked`, alone and once, gets 400 and the connection is closed.

--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -45,6 +45,14 @@
     return http::status::bad_request;
 }
 
+/// The parser takes a request with another coding than `chunked` for one without a body, and its body for the
+/// next request on the connection.
+bool has_unknown_coding(const request_message& request) {
+    const auto codings = request.equal_range(http::field::transfer_encoding);
+    const auto count = std::distance(codings.first, codings.second);
+    return count > 1 || (count == 1 && !beast::iequals(codings.first->value(), "chunked"));
+}
+
 bool connects_from_own_host(const tcp::socket& socket) {
     error_code error;
     const auto remote = socket.remote_endpoint(error);
@@ -222,6 +230,9 @@
         lease->set_activity(resources::holder_activity::held);
     });
     error = co_await read_part(parser, message_part::header);
+    if (!error && has_unknown_coding(parser.get())) {
+        error = make_error_code(http::error::bad_transfer_encoding);
+    }
     if (!error && exceeds_body_limit(parser, limits.body_bytes)) {
         error = make_error_code(http::error::body_limit);
     }
--- a/packages/forwarding/tests/forwarder_test.cpp
+++ b/packages/forwarding/tests/forwarder_test.cpp
@@ -211,6 +211,30 @@
     EXPECT_EQ(served, 0);
 }
 
+// Guards against a request inside the body of another one that runs, and an outer request that runs without
+// its body: the coding of the body is not `chunked`, or not only that (review case 7).
+TEST(forwarder, request_in_a_body_of_unknown_coding_is_not_run) {
+    std::atomic<int> served{0};
+    scripted_server target([&served](tcp::socket& socket, const std::string& head) {
+        ++served;
+        send(socket, ok_response(header(head, "X-Id"), ""));
+        return true;
+    });
+    daemon_under_test daemon(target.address());
+    for (const char* coding :
+         {"identity", "gzip", "chunked, identity", "xchunked", "gzip, chunked", "chunked, chunked",
+          "chunked\r\nTransfer-Encoding: identity", "identity\r\nTransfer-Encoding: chunked", ""}) {
+        raw_client caller(daemon.caller_endpoint());
+        caller.write(request("POST", "/order/a", "x", "Transfer-Encoding: " + std::string(coding) + "\r\n") +
+                     request("GET", "/safe/smuggled", "y"));
+        EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 400")) << coding;
+    }
+    EXPECT_EQ(served, 0);
+    raw_client caller(daemon.caller_endpoint());
+    caller.write(request("POST", "/order/a", "x", "Transfer-Encoding: Chunked\r\n") + "1\r\na\r\n0\r\n\r\n");
+    EXPECT_TRUE(caller.read().starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a target that gets more time than the route's deadline leaves, and against mesh headers
 // forged by a caller.
 TEST(forwarder, target_receives_remaining_time_and_caller_identity) {
