Bound the texts of events and the size of the timeline

Cause: the timeline was bounded by the number of events alone.

Change: event_log truncates a value to 512 bytes, for log and timeline; the timeline keeps limits.timeline_bytes (8 MB) at most. truncate_utf8 moved with its test from config to common, where telemetry can use it.

--- a/packages/codec/src/json_reader.cpp
+++ b/packages/codec/src/json_reader.cpp
@@ -1,7 +1,7 @@
 #include "boragehollow/codec/json_reader.hpp"
 
 #include "boragehollow/common/duration_text.hpp"
-#include "boragehollow/config/validation.hpp"
+#include "boragehollow/common/truncate.hpp"
 
 #include <cmath>
 #include <limits>
@@ -149,7 +149,7 @@
         });
         if (detector.duplicate()) {
             return tl::unexpected(json_error{json_error_kind::syntax,
-                                             config::truncate_utf8(*detector.duplicate(), max_quoted_length),
+                                             common::truncate_utf8(*detector.duplicate(), max_quoted_length),
                                              "the object has this field twice"});
         }
         return value;
@@ -158,7 +158,7 @@
         const std::string_view what = error.what();
         const std::size_t prefix = what.find("] ");
         const std::string_view detail = prefix == std::string_view::npos ? what : what.substr(prefix + 2);
-        return tl::unexpected(json_error{json_error_kind::syntax, "", config::truncate_utf8(detail, 256)});
+        return tl::unexpected(json_error{json_error_kind::syntax, "", common::truncate_utf8(detail, 256)});
     }
 }
 
@@ -231,7 +231,7 @@
     }
     target.clear();
     for (const auto& [key, text] : value.items()) {
-        read_value(text, join_path(path, config::truncate_utf8(key, max_quoted_length)), target[key], errors);
+        read_value(text, join_path(path, common::truncate_utf8(key, max_quoted_length)), target[key], errors);
     }
 }
 
@@ -286,7 +286,7 @@
     }
     for (const auto& item : m_value.items()) {
         if (!m_read_fields.contains(item.key())) {
-            fail(json_error_kind::unknown_field, config::truncate_utf8(item.key(), max_quoted_length),
+            fail(json_error_kind::unknown_field, common::truncate_utf8(item.key(), max_quoted_length),
                  "is not a known field");
         }
     }
--- a/packages/config/include/boragehollow/config/validation.hpp
+++ b/packages/config/include/boragehollow/config/validation.hpp
@@ -34,7 +34,4 @@
 /// Returns true when `name` can be the name of a resource.
 bool is_valid_name(std::string_view name);
 
-/// Truncates `text` to at most `length` bytes without splitting a UTF-8 sequence.
-std::string truncate_utf8(std::string_view text, std::size_t length);
-
 } // namespace boragehollow::config
--- a/packages/config/src/config_state.cpp
+++ b/packages/config/src/config_state.cpp
@@ -2,6 +2,7 @@
 
 #include "boragehollow/common/overloaded.hpp"
 #include "boragehollow/common/rendezvous.hpp"
+#include "boragehollow/common/truncate.hpp"
 #include "boragehollow/config/validation.hpp"
 
 #include <array>
@@ -122,8 +123,8 @@
 }
 
 rejected truncated(rejected reason) {
-    reason.detail = truncate_utf8(reason.detail, max_detail_length);
-    reason.field = truncate_utf8(reason.field, max_detail_length);
+    reason.detail = common::truncate_utf8(reason.detail, max_detail_length);
+    reason.field = common::truncate_utf8(reason.field, max_detail_length);
     if (reason.resource && !is_valid_name(reason.resource->name)) {
         reason.resource.reset();
     }
@@ -164,7 +165,8 @@
     const std::vector<field_error> header_errors = validate_header(record);
     const bool id_is_valid = header_errors.empty() || header_errors.front().field != "change_id";
     if (id_is_valid && next.outcome_of(record.change_id) == nullptr) {
-        next.add_outcome({record.change_id, at, truncate_utf8(record.author, max_identifier_length), result});
+        next.add_outcome(
+            {record.change_id, at, common::truncate_utf8(record.author, max_identifier_length), result});
     }
     publish(at, result, std::move(next));
     return result;
--- a/packages/config/src/validation.cpp
+++ b/packages/config/src/validation.cpp
@@ -1,6 +1,7 @@
 #include "boragehollow/config/validation.hpp"
 
 #include "boragehollow/common/overloaded.hpp"
+#include "boragehollow/common/truncate.hpp"
 #include "boragehollow/config/limits.hpp"
 
 #include <algorithm>
@@ -227,7 +228,7 @@
         errors.add("labels", "must have at most " + std::to_string(max_labels) + " entries");
     }
     for (const auto& [key, text] : value.labels) {
-        const std::string field = "labels." + truncate_utf8(key, max_name_length);
+        const std::string field = "labels." + common::truncate_utf8(key, max_name_length);
         if (!is_valid_name(key)) {
             errors.add(field, "the key is not a valid name");
         }
@@ -283,17 +284,6 @@
                                [](char c) { return is_lower_alnum(c) || c == '-' || c == '.' || c == '_'; });
 }
 
-std::string truncate_utf8(std::string_view text, std::size_t length) {
-    if (text.size() <= length) {
-        return std::string(text);
-    }
-    const auto is_continuation = [](char c) { return (static_cast<unsigned char>(c) & 0xc0U) == 0x80U; };
-    while (length > 0 && is_continuation(text[length])) {
-        --length;
-    }
-    return std::string(text.substr(0, length));
-}
-
 std::vector<field_error> validate(const resource& value, name_source names) {
     error_list errors(names);
     std::visit([&errors](const auto& concrete) { check(concrete, errors); }, value);
--- a/packages/config/tests/validation_test.cpp
+++ b/packages/config/tests/validation_test.cpp
@@ -59,12 +59,6 @@
     }
 }
 
-// Guards against texts that are invalid UTF-8 after truncation.
-TEST(validation, truncation_does_not_split_utf8_sequences) {
-    EXPECT_EQ(truncate_utf8("a\xc3\xa9z", 2), "a");
-    EXPECT_EQ(truncate_utf8("a\xc3\xa9z", 3), "a\xc3\xa9");
-}
-
 // Guards against changes without operations, with too many, or with two operations on one resource.
 TEST(validation, limits_the_operations_of_a_change) {
     change record{"id", "ana", 1, {}};
--- a/packages/daemon/include/boragehollow/daemon/timeline_duty.hpp
+++ b/packages/daemon/include/boragehollow/daemon/timeline_duty.hpp
@@ -22,7 +22,7 @@
 /// Thread that owns the buffer of recent events of this daemon.
 class timeline_duty {
 public:
-    timeline_duty(std::size_t ring_size, std::size_t kept_events);
+    timeline_duty(std::size_t ring_size, std::size_t kept_events, std::size_t kept_bytes);
     ~timeline_duty();
 
     /// Processes the queued messages and joins the thread.
--- a/packages/daemon/src/timeline_duty.cpp
+++ b/packages/daemon/src/timeline_duty.cpp
@@ -6,8 +6,8 @@
 
 namespace boragehollow::daemon {
 
-timeline_duty::timeline_duty(std::size_t ring_size, std::size_t kept_events)
-    : m_buffer(kept_events), m_ring(ring_size),
+timeline_duty::timeline_duty(std::size_t ring_size, std::size_t kept_events, std::size_t kept_bytes)
+    : m_buffer(kept_events, kept_bytes), m_ring(ring_size),
       m_thread("timeline", [this](const std::stop_token&) { run(); }) {}
 
 timeline_duty::~timeline_duty() {
--- a/packages/settings/include/boragehollow/settings/daemon_settings.hpp
+++ b/packages/settings/include/boragehollow/settings/daemon_settings.hpp
@@ -100,6 +100,7 @@
     std::size_t snapshot_records = 0;
     std::size_t concurrent_snapshot_pulls = 0;
     std::size_t timeline_events = 0;
+    std::size_t timeline_bytes = 0;
     double link_megabits = 0;
 };
 
--- a/packages/settings/src/entries.cpp
+++ b/packages/settings/src/entries.cpp
@@ -173,6 +173,8 @@
              "Concurrent snapshots that a daemon sends; further peers are told to retry."),
         size("limits.timeline_events", field<&root::limits, &limit_settings::timeline_events>, 8192, 16,
              max_ring_capacity, "events", "Events that the timeline keeps."),
+        size("limits.timeline_bytes", field<&root::limits, &limit_settings::timeline_bytes>, 8 * mib,
+             64 * kib, 1024 * mib, "bytes", "Estimated size of the events that the timeline keeps."),
 
         duration("timing.swim_period", field<&root::timing, &timing_settings::swim_period>, 500ms, 20ms, 10s,
                  "Interval of the failure detector's probes."),
--- a/packages/telemetry/include/boragehollow/telemetry/event_log.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/event_log.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,6 +17,9 @@
 
 namespace boragehollow::telemetry {
 
+/// A longer value of a field is truncated and ends with dots.
+inline constexpr std::size_t max_event_field_bytes = 512;
+
 /// Name and value of one event field. Values are stored as text; durations are converted to microseconds with
 /// the unit `us`.
 struct event_field {
--- a/packages/telemetry/include/boragehollow/telemetry/timeline_buffer.hpp
+++ b/packages/telemetry/include/boragehollow/telemetry/timeline_buffer.hpp
@@ -35,7 +35,9 @@
 /// Bounded buffer of the newest events of one host. Owned by the timeline duty; not thread-safe.
 class timeline_buffer {
 public:
-    explicit timeline_buffer(std::size_t capacity) : m_capacity(capacity) {}
+    /// Keeps `capacity` events at most, and fewer where their estimated size exceeds `max_bytes`.
+    timeline_buffer(std::size_t capacity, std::size_t max_bytes)
+        : m_capacity(capacity), m_max_bytes(max_bytes) {}
 
     void add(timeline_event event);
 
@@ -46,8 +48,12 @@
     std::size_t size() const { return m_events.size(); }
 
 private:
+    void evict_oldest();
+
     std::deque<timeline_event> m_events;
     std::size_t m_capacity;
+    std::size_t m_max_bytes;
+    std::size_t m_bytes = 0;
     std::uint64_t m_dropped = 0;
 };
 
--- a/packages/telemetry/src/event_log.cpp
+++ b/packages/telemetry/src/event_log.cpp
@@ -2,6 +2,7 @@
 
 #include "boragehollow/common/bounded_ring.hpp"
 #include "boragehollow/common/duty.hpp"
+#include "boragehollow/common/truncate.hpp"
 
 #include <array>
 #include <atomic>
@@ -49,6 +50,17 @@
     return loggers.at(static_cast<std::size_t>(channel));
 }
 
+constexpr std::string_view truncation_mark = "...";
+
+/// Bounds the memory that the log lines and the timeline take. Values may hold texts of callers, such as
+/// request targets.
+void shorten(std::string& value) {
+    if (value.size() > max_event_field_bytes) {
+        value = common::truncate_utf8(value, max_event_field_bytes - truncation_mark.size()) +
+                std::string(truncation_mark);
+    }
+}
+
 /// About 5 s of log lines about calls at the highest rate that is logged.
 constexpr std::size_t max_queued_lines = 2'048;
 
@@ -180,6 +192,9 @@
     if (description == nullptr) {
         return;
     }
+    for (event_field& field : fields) {
+        shorten(field.value);
+    }
     const log4cplus::Logger& logger = channel_logger(description->channel);
     const log4cplus::LogLevel level = to_log4cplus_level(description->level);
     if (logger.isEnabledFor(level)) {
--- a/packages/telemetry/tests/event_log_test.cpp
+++ b/packages/telemetry/tests/event_log_test.cpp
@@ -48,6 +48,21 @@
     EXPECT_LT(received[0].at, received[1].at);
 }
 
+// Guards against log lines and a timeline that outgrow the memory of their host because events hold long
+// texts of callers (review case 8).
+TEST(event_log, truncates_long_values) {
+    std::vector<timeline_event> received;
+    const event_log log("quito-norte-1", std::make_shared<common::hybrid_clock>(),
+                        [&](timeline_event event) { received.push_back(std::move(event)); });
+    log.emit(event_number::log_unreachable,
+             {{"error", std::string(16'000, 'x')}, {"endpoint", std::string(max_event_field_bytes, 'y')}});
+    ASSERT_EQ(received.size(), 1U);
+    const std::string& shortened = received[0].fields.at("error");
+    EXPECT_EQ(shortened.size(), max_event_field_bytes);
+    EXPECT_TRUE(shortened.ends_with("xxx..."));
+    EXPECT_EQ(received[0].fields.at("endpoint"), std::string(max_event_field_bytes, 'y'));
+}
+
 /// log4cplus can be initialized only once per process.
 log_session& process_session() {
     static log_session session(event_level::info);
--- a/packages/telemetry/tests/timeline_buffer_test.cpp
+++ b/packages/telemetry/tests/timeline_buffer_test.cpp
@@ -14,9 +14,26 @@
     return event;
 }
 
+constexpr std::size_t max_bytes = 1024 * 1024;
+
+// Guards against a timeline that outgrows the memory of its host because its events hold long texts of
+// callers (review case 8).
+TEST(timeline_buffer, evicts_the_oldest_events_beyond_its_size) {
+    timeline_buffer buffer(8'192, max_bytes);
+    for (int index = 0; index < 1'000; ++index) {
+        timeline_event event = event_at(1us, static_cast<std::uint32_t>(index), "a");
+        event.fields["target"] = std::string(16'000, 'x');
+        buffer.add(std::move(event));
+    }
+    EXPECT_GT(buffer.size(), 50U);
+    EXPECT_LT(buffer.size() * 16'000, max_bytes);
+    EXPECT_EQ(buffer.size() + buffer.dropped(), 1'000U);
+    EXPECT_EQ(buffer.query(std::nullopt, 1).events.front().at.counter, 999U);
+}
+
 // Guards against unbounded growth, and against evicted events that are not counted.
 TEST(timeline_buffer, evicts_the_oldest_events_and_counts_them) {
-    timeline_buffer buffer(2);
+    timeline_buffer buffer(2, max_bytes);
     for (int index = 0; index < 5; ++index) {
         buffer.add(event_at(1us, static_cast<std::uint32_t>(index), "a"));
     }
@@ -27,7 +44,7 @@
 }
 
 TEST(timeline_buffer, query_returns_the_newest_events_after_a_time) {
-    timeline_buffer buffer(10);
+    timeline_buffer buffer(10, max_bytes);
     for (int index = 0; index < 5; ++index) {
         buffer.add(event_at(std::chrono::microseconds(index), 0, "a"));
     }
--- a/programs/boragehollowd/document_pipeline.cpp
+++ b/programs/boragehollowd/document_pipeline.cpp
@@ -450,7 +450,7 @@
 
 document_pipeline::components::components(settings::daemon_settings initial_settings)
     : settings(std::move(initial_settings)),
-      timeline(settings.rings.timeline, settings.limits.timeline_events),
+      timeline(settings.rings.timeline, settings.limits.timeline_events, settings.limits.timeline_bytes),
       events(settings.identity.host, clock,
              [this](telemetry::timeline_event event) { timeline.record(std::move(event)); }) {}
 
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -374,7 +374,7 @@
 
 pipeline::components::components(settings::daemon_settings initial_settings)
     : settings(std::move(initial_settings)),
-      timeline(settings.rings.timeline, settings.limits.timeline_events),
+      timeline(settings.rings.timeline, settings.limits.timeline_events, settings.limits.timeline_bytes),
       events(settings.identity.host, clock,
              [this](telemetry::timeline_event event) { timeline.record(std::move(event)); }),
       identity{settings.identity.mesh, settings.identity.host, clock},
