Count the fields of a head as memory of its request

Cause: the parser keeps each field in a node of its own, so that 16 KB of small fields take about 300 KB; the memory budget counted 12 KB for each call.

Change: each field beyond 48 counts with 160 bytes, as part of the request's lease. If that is not free at once, the request is refused with 503, as not run. A lone head of any number of fields is served.

--- a/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/http_session.hpp
@@ -93,12 +93,13 @@
     /// Cancelled whenever `m_pending` changes, to wake the coroutines that wait for a change.
     asio::steady_timer m_pending_changed;
     common::steady_time m_last_activity;
-    bool m_from_own_host = false;   ///< The client has the address on which it reached this daemon.
-    bool m_reading_request = false; ///< Part of a request has been received.
-    bool m_reading_ended = false;   ///< The last request has been read or reading failed.
-    bool m_input_ended = false;     ///< The client closed its side of the connection.
-    bool m_stop_reading = false;    ///< No further request is accepted.
-    bool m_request_evicted = false; ///< The request being received was ended for others.
+    bool m_from_own_host = false;      ///< The client has the address on which it reached this daemon.
+    std::size_t m_bytes_of_fields = 0; ///< Of the request being received, beyond the overhead of a call.
+    bool m_reading_request = false;    ///< Part of a request has been received.
+    bool m_reading_ended = false;      ///< The last request has been read or reading failed.
+    bool m_input_ended = false;        ///< The client closed its side of the connection.
+    bool m_stop_reading = false;       ///< No further request is accepted.
+    bool m_request_evicted = false;    ///< The request being received was ended for others.
     bool m_closed = false;
 };
 
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -22,6 +22,12 @@
 /// Memory of a request and its response besides their bodies, while the call is in progress.
 constexpr std::size_t call_overhead_bytes = 12 * 1024;
 
+/// Fields that the overhead of a call covers.
+constexpr std::size_t covered_fields = 48;
+
+/// The parser keeps each field in a node of its own, and the head is copied when the call is passed on.
+constexpr std::size_t field_overhead_bytes = 160;
+
 /// First read of a request; most heads need no second one.
 constexpr std::size_t min_read_bytes = 1024;
 
@@ -45,6 +51,11 @@
     return http::status::bad_request;
 }
 
+std::size_t bytes_of_fields(const request_message& request) {
+    const auto fields = static_cast<std::size_t>(std::distance(request.begin(), request.end()));
+    return fields > covered_fields ? (fields - covered_fields) * field_overhead_bytes : 0;
+}
+
 /// The parser takes a request with another coding than `chunked` for one without a body, and its body for the
 /// next request on the connection.
 bool has_unknown_coding(const request_message& request) {
@@ -169,7 +180,8 @@
             min_read_bytes, max_read_bytes);
         const std::size_t unparsed = std::max(m_buffer.capacity(), m_buffer.size() + wanted);
         // A stated length is leased at once, so that a body that was begun can be completed.
-        const std::size_t bytes = call_overhead_bytes + body.capacity_with(rest) + unparsed;
+        const std::size_t bytes =
+            call_overhead_bytes + m_bytes_of_fields + body.capacity_with(rest) + unparsed;
         std::optional<bool> granted = lease->try_acquire(bytes);
         if (!granted) {
             granted = co_await lease->acquire(bytes);
@@ -229,7 +241,16 @@
         lease->on_eviction(nullptr);
         lease->set_activity(resources::holder_activity::held);
     });
+    m_bytes_of_fields = 0;
     error = co_await read_part(parser, message_part::header);
+    if (!error) {
+        m_bytes_of_fields = bytes_of_fields(parser.get());
+        const std::size_t bytes = call_overhead_bytes + m_bytes_of_fields + m_buffer.capacity();
+        // The fields are in the memory already, so that the request cannot wait for it.
+        if (m_bytes_of_fields > 0 && !lease->try_acquire(bytes).value_or(false)) {
+            error = make_error_code(asio::error::no_memory);
+        }
+    }
     if (!error && has_unknown_coding(parser.get())) {
         error = make_error_code(http::error::bad_transfer_encoding);
     }
@@ -247,7 +268,7 @@
     }
     m_reading_request = false;
     m_last_activity = common::steady_clock::now();
-    lease->release_to(call_overhead_bytes + parser.get().body().capacity());
+    lease->release_to(call_overhead_bytes + m_bytes_of_fields + parser.get().body().capacity());
     request = parser.release();
     co_return error_code{};
 }
--- a/packages/forwarding/tests/client_limits_test.cpp
+++ b/packages/forwarding/tests/client_limits_test.cpp
@@ -69,6 +69,32 @@
     EXPECT_EQ(target.ran, 1);
 }
 
+// Guards against heads of many small fields, which take many times their size and end the process (review
+// case 6).
+TEST(client_limits, head_of_many_fields_counts_as_memory) {
+    counting_target target;
+    daemon_under_test daemon(target.server.address(), 1'000, 4, "h1",
+                             {.bytes = 200 * kib, .small_reserve_bytes = 256 * kib});
+    std::string fields = "Content-Length: 10\r\n";
+    for (int i = 0; i < 900; ++i) {
+        fields += "a:\r\n";
+    }
+    raw_client stalled(daemon.caller_endpoint());
+    stalled.write(request("POST", "/order/a", "stalled", fields) + "12345");
+    std::this_thread::sleep_for(100ms);
+    raw_client second(daemon.caller_endpoint());
+    second.write(request("POST", "/order/a", "second", fields) + "1234567890");
+    const std::string refusal = second.read();
+    EXPECT_TRUE(refusal.starts_with("HTTP/1.1 503")) << refusal;
+    EXPECT_EQ(header(refusal, "X-Id"), "second");
+    EXPECT_EQ(target.ran, 0);
+    raw_client ordinary(daemon.caller_endpoint());
+    ordinary.write(request("POST", "/order/a", "ordinary", "Content-Length: 10\r\n") + "1234567890");
+    EXPECT_TRUE(ordinary.read().starts_with("HTTP/1.1 200"));
+    stalled.write("67890");
+    EXPECT_TRUE(stalled.read().starts_with("HTTP/1.1 200"));
+}
+
 // Guards against clients that do not read long responses and keep the memory from others.
 TEST(client_limits, response_that_is_not_read_yields_to_a_waiting_one) {
     const std::string body(6'000'000, 'r');
