Receive the head of a response into 8 KB

Change: the first read of a response has 8 KB; it grows with the head, and the body is read in 64 KB as before.

--- a/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
+++ b/packages/forwarding/include/boragehollow/forwarding/connection_pool.hpp
@@ -95,7 +95,8 @@
                                              const exchange_options& options);
     asio::awaitable<bool> is_request_written(connection& conn, common::steady_time deadline);
     bool displaces_others(std::size_t capacity) const;
-    asio::awaitable<error_code> receive_some(connection& conn, common::steady_time deadline);
+    asio::awaitable<error_code> receive_some(connection& conn, std::size_t wanted_bytes,
+                                             common::steady_time deadline);
     asio::awaitable<tl::expected<response_message, exchange_error>>
     read_response(connection_ptr conn, bool head_request, const exchange_options& options);
     asio::awaitable<void> write_large_request(connection_ptr conn, std::chrono::milliseconds duration);
--- a/packages/forwarding/src/connection_pool.cpp
+++ b/packages/forwarding/src/connection_pool.cpp
@@ -36,6 +36,10 @@
 
 constexpr std::size_t max_header_bytes = 64 * 1024;
 
+/// First read of a response, which usually has all of a small one. A call holds this buffer, which no lease
+/// covers, for as long as it waits.
+constexpr std::size_t min_head_read_bytes = 8 * 1024;
+
 /// Bytes that are received but not yet parsed. The parser alone does not limit a chunk extension, so that a
 /// peer could send one without end.
 constexpr std::size_t max_unparsed_bytes = 256 * 1024;
@@ -163,7 +167,8 @@
 
 /// Receives the next bytes. The stream's timer only ends a read that waits for data; data that is always
 /// available never lets it expire, so the deadline is compared as well.
-asio::awaitable<error_code> connection_pool::receive_some(connection& conn, common::steady_time deadline) {
+asio::awaitable<error_code> connection_pool::receive_some(connection& conn, std::size_t wanted_bytes,
+                                                          common::steady_time deadline) {
     if (common::steady_clock::now() >= deadline) {
         co_return make_error_code(beast::error::timeout);
     }
@@ -173,7 +178,7 @@
     }
     error_code error;
     const std::size_t count = co_await conn.stream.async_read_some(
-        conn.buffer.prepare(std::min(room, max_read_bytes)), redirect_error_to(error));
+        conn.buffer.prepare(std::min(room, wanted_bytes)), redirect_error_to(error));
     conn.buffer.commit(count);
     co_return error;
 }
@@ -186,7 +191,8 @@
         if (error != http::error::need_more) {
             co_return error;
         }
-        error = co_await receive_some(conn, options.deadline);
+        const std::size_t wanted_bytes = std::clamp(conn.buffer.size(), min_head_read_bytes, max_read_bytes);
+        error = co_await receive_some(conn, wanted_bytes, options.deadline);
         if (error) {
             co_return error;
         }
@@ -253,7 +259,7 @@
             co_return error;
         }
         const std::size_t before = conn.buffer.size();
-        error = co_await receive_some(conn, options.deadline);
+        error = co_await receive_some(conn, max_read_bytes, options.deadline);
         if (error == asio::error::eof && parser.got_some()) {
             if (parser.need_eof() && !co_await is_request_written(conn, options.deadline)) {
                 co_return make_error_code(http::error::partial_message);
