--- a/packages/common/src/duration_text.cpp
+++ b/packages/common/src/duration_text.cpp
@@ -27,8 +27,10 @@
 constexpr std::string_view expected_format =
     "must be a number with a unit (ms, s, m or h), such as \"250ms\" or \"2.5s\"";
 
-/// Exact for whole numbers of any size; a fraction is rounded to the nearest millisecond.
-std::optional<std::chrono::milliseconds> multiply(std::string_view number, std::chrono::milliseconds length) {
+/// Value of a number of units of this length. Exact for whole numbers of any size; a fraction is rounded to
+/// the nearest millisecond.
+std::optional<std::chrono::milliseconds> to_milliseconds(std::string_view number,
+                                                         std::chrono::milliseconds length) {
     const char* const end = number.data() + number.size();
     std::int64_t whole = 0;
     const auto parsed = std::from_chars(number.data(), end, whole);
@@ -64,7 +66,7 @@
     if (number.empty() || found == units.end()) {
         return tl::unexpected(std::string(expected_format));
     }
-    const auto value = multiply(number, found->length);
+    const auto value = to_milliseconds(number, found->length);
     if (!value) {
         return tl::unexpected(std::string("is too long"));
     }
--- a/packages/forwarding/src/http_session.cpp
+++ b/packages/forwarding/src/http_session.cpp
@@ -3,6 +3,7 @@
 #include "boragehollow/common/scope_guard.hpp"
 #include "boragehollow/forwarding/connection_pool.hpp"
 #include "boragehollow/forwarding/paced_body.hpp"
+#include "boragehollow/forwarding/request_head.hpp"
 
 #include <algorithm>
 #include <exception>
@@ -22,12 +23,6 @@
 /// Memory of a request and its response besides their bodies, while the call is in progress.
 constexpr std::size_t call_overhead_bytes = 12 * 1024;
 
-/// Fields that the overhead of a call covers.
-constexpr std::size_t covered_fields = 48;
-
-/// The parser keeps each field in a node of its own, and the head is copied when the call is passed on.
-constexpr std::size_t field_overhead_bytes = 160;
-
 /// First read of a request; most heads need no second one.
 constexpr std::size_t min_read_bytes = 1024;
 
@@ -51,19 +46,6 @@
     return http::status::bad_request;
 }
 
-std::size_t bytes_of_fields(const request_message& request) {
-    const auto fields = static_cast<std::size_t>(std::distance(request.begin(), request.end()));
-    return fields > covered_fields ? (fields - covered_fields) * field_overhead_bytes : 0;
-}
-
-/// The parser takes a request with another coding than `chunked` for one without a body, and its body for the
-/// next request on the connection.
-bool has_unknown_coding(const request_message& request) {
-    const auto codings = request.equal_range(http::field::transfer_encoding);
-    const auto count = std::distance(codings.first, codings.second);
-    return count > 1 || (count == 1 && !beast::iequals(codings.first->value(), "chunked"));
-}
-
 bool connects_from_own_host(const tcp::socket& socket) {
     error_code error;
     const auto remote = socket.remote_endpoint(error);
--- a/programs/boragehollowd/document_settings.cpp
+++ b/programs/boragehollowd/document_settings.cpp
@@ -16,6 +16,7 @@
 /// Announcements may arrive seconds late, however often a target sends them.
 constexpr std::chrono::milliseconds min_silence_timeout{6'000};
 
+/// Entries that a reload puts into force.
 constexpr std::array<std::string_view, 2> live_keys{"timing.heartbeat", "logging.level"};
 
 } // namespace
--- a/programs/boragehollowd/pipeline.cpp
+++ b/programs/boragehollowd/pipeline.cpp
@@ -436,6 +436,7 @@
 }
 
 void pipeline::reload(const settings::daemon_settings& settings) {
+    // Entries that a reload puts into force.
     static constexpr std::array<std::string_view, 1> live_keys{"logging.level"};
     components& daemon = *m_components;
     set_log_level(settings.logging.level);
--- a/programs/boragehollowd/settings_reload.hpp
+++ b/programs/boragehollowd/settings_reload.hpp
@@ -17,7 +17,8 @@
 
 void set_log_level(settings::log_level level);
 
-/// Reports which entries took effect, which are the `live` ones that differ, and which do at the next start.
+/// Reports which entries took effect, which are the `live` ones that changed, and which take effect at the
+/// next start.
 void report_reload(const settings_reload& reload, std::span<const std::string_view> live,
                    const telemetry::event_log& events);
 
