--- a/packages/codec/tests/member_codec_test.cpp
+++ b/packages/codec/tests/member_codec_test.cpp
@@ -21,7 +21,8 @@
     value.target = {"order-desk", {{"version", "v1"}, {"zone", ""}}, 6, membership::target_state::draining};
     value.target_sequence = 9;
     value.link_megabits = 1'000'000;
-    value.withdrawn = {{"i-1", std::numeric_limits<std::uint64_t>::max(), false, true}, {"i-\xff", 0, true, false}};
+    value.withdrawn = {{"i-1", std::numeric_limits<std::uint64_t>::max(), false, true},
+                       {"i-\xff", 0, true, false}};
     return value;
 }
 
